Core: the duties of an entry host as one deterministic state machine

Change: typed documents, a monotonic replica, the assignment table and its planner, host authority by session or pledges, fenced grants on the target's own clock, fair queues, fleet-wide buckets, idempotency memory, crash quarantine, ingress.

--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentDuty.java
@@ -0,0 +1,174 @@
+package org.dragonflymux.core.assignment;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.dragonflymux.core.configuration.ConfigurationReplica;
+import org.dragonflymux.core.document.AssignmentTable;
+import org.dragonflymux.core.document.DocumentKey;
+import org.dragonflymux.core.document.DomainIntent;
+import org.dragonflymux.core.document.HostRecord;
+import org.dragonflymux.core.document.KeyPin;
+import org.dragonflymux.core.document.ReleaseOrder;
+import org.dragonflymux.core.document.ServiceDocument;
+import org.dragonflymux.core.document.TargetIntent;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+
+/**
+ * The duty of assigning, as one host sees it: who may change a service's table now, and to what.
+ *
+ * <p>The assigner named in the table changes it. The standby does once the assigner's session is gone from the store.
+ * With both gone, any host may, after nobody that the table names can still be serving on a pledge of theirs.
+ */
+public final class AssignmentDuty {
+
+    private final HostId self;
+    private final ConfigurationReplica replica;
+    private final Map<ServiceName, Map<TargetId, LaneReport>> reports = new HashMap<>();
+    private final Map<HostId, Instant> absentSince = new HashMap<>();
+    private Instant watchingSince = Instant.MAX;
+
+    private AssignmentDuty(HostId self, ConfigurationReplica replica) {
+        this.self = self;
+        this.replica = replica;
+    }
+
+    /** Returns the duty of a host that reads the given replica. */
+    public static AssignmentDuty of(HostId self, ConfigurationReplica replica) {
+        return new AssignmentDuty(self, replica);
+    }
+
+    /** Takes in a dispatcher's report; a report under an older fencing token is ignored. */
+    public void report(LaneReport report) {
+        reports.computeIfAbsent(report.service(), service -> new HashMap<>())
+                .merge(report.target(), report, (known, late) -> late.fence() < known.fence() ? known : late);
+    }
+
+    /** Returns the hosts whose sessions are in the store. */
+    public SortedMap<HostId, HostRecord> liveHosts() {
+        SortedMap<HostId, HostRecord> live = new TreeMap<>();
+        replica.all(HostRecord.class).forEach(record -> live.put(record.host(), record));
+        return live;
+    }
+
+    /** Notes which named hosts are absent; called on each tick while the replica is fresh. */
+    public void observe(Instant now) {
+        if (watchingSince.equals(Instant.MAX)) {
+            watchingSince = now;
+        }
+        Set<HostId> live = liveHosts().keySet();
+        absentSince.keySet().removeAll(live);
+        replica.all(AssignmentTable.class)
+                .forEach(table -> namedHosts(table).stream()
+                        .filter(host -> !live.contains(host))
+                        .forEach(host -> absentSince.putIfAbsent(host, now)));
+    }
+
+    /** Forgets for how long hosts were absent, because the replica was not fresh. */
+    public void observationLost() {
+        watchingSince = Instant.MAX;
+        absentSince.clear();
+    }
+
+    private static Set<HostId> namedHosts(AssignmentTable table) {
+        Set<HostId> named = new HashSet<>();
+        named.add(table.assigner());
+        named.add(table.standby());
+        table.lanes().forEach(lane -> named.add(lane.dispatcher()));
+        named.remove(null);
+        return named;
+    }
+
+    /**
+     * Returns the table that this host should write for a service, if it may write one and has a reason to.
+     *
+     * @param leaving whether this host is shutting down
+     */
+    public Optional<AssignmentTable> propose(ServiceDocument service, boolean leaving, Instant now) {
+        SortedMap<HostId, HostRecord> live = liveHosts();
+        if (!live.containsKey(self)) {
+            return Optional.empty();
+        }
+        Optional<AssignmentTable> table = replica.find(DocumentKey.assignment(service.name()), AssignmentTable.class);
+        if (table.isEmpty()) {
+            boolean first = !leaving && self.equals(firstStaying(live));
+            return first ? Optional.of(TablePlanner.create(input(service, live))) : Optional.empty();
+        }
+        if (!mayWrite(table.get(), service, live, now)) {
+            return Optional.empty();
+        }
+        AssignmentTable next = TablePlanner.next(input(service, live), table.get());
+        if (next.equals(table.get()) && leaving && live.containsKey(next.standby())) {
+            next = TablePlanner.handOver(next);
+        }
+        return next.equals(table.get()) ? Optional.empty() : Optional.of(next);
+    }
+
+    private static HostId firstStaying(SortedMap<HostId, HostRecord> live) {
+        return live.values().stream()
+                .filter(host -> !host.leaving())
+                .map(HostRecord::host)
+                .findFirst()
+                .orElse(null);
+    }
+
+    private boolean mayWrite(
+            AssignmentTable table, ServiceDocument service, SortedMap<HostId, HostRecord> live, Instant now) {
+        if (self.equals(table.assigner())) {
+            return true;
+        }
+        if (live.containsKey(table.assigner())) {
+            return false;
+        }
+        if (self.equals(table.standby())) {
+            return true;
+        }
+        boolean pairGone = table.standby() == null || !live.containsKey(table.standby());
+        return pairGone && self.equals(firstStaying(live)) && (released(table) || pledgesOver(table, service, now));
+    }
+
+    private boolean released(AssignmentTable table) {
+        return replica.find(DocumentKey.release(table.service()), ReleaseOrder.class)
+                .filter(order -> order.term() >= table.term())
+                .isPresent();
+    }
+
+    /** Tells whether no absent host of the table can still be serving on a pledge. */
+    private boolean pledgesOver(AssignmentTable table, ServiceDocument service, Instant now) {
+        Duration limit = service.continuity();
+        return namedHosts(table).stream()
+                .filter(absentSince::containsKey)
+                .allMatch(host -> !now.isBefore(absentSince.get(host).plus(limit)));
+    }
+
+    private PlanInput input(ServiceDocument service, SortedMap<HostId, HostRecord> live) {
+        ServiceName name = service.name();
+        SortedMap<String, KeyPin> pins = new TreeMap<>();
+        replica.all(KeyPin.class).stream()
+                .filter(pin -> pin.service().equals(name))
+                .forEach(pin -> pins.put(pin.keyHash(), pin));
+        return new PlanInput(
+                self,
+                service,
+                live,
+                replica.all(DomainIntent.class).stream()
+                        .filter(DomainIntent::out)
+                        .map(DomainIntent::domain)
+                        .collect(Collectors.toSet()),
+                replica.all(TargetIntent.class).stream()
+                        .filter(intent -> intent.drain() && intent.service().equals(name))
+                        .map(TargetIntent::target)
+                        .collect(Collectors.toSet()),
+                pins,
+                reports.getOrDefault(name, Map.of()));
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentWriter.java
@@ -0,0 +1,192 @@
+package org.dragonflymux.core.assignment;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.dragonflymux.core.admission.AdmissionService;
+import org.dragonflymux.core.configuration.ConfigurationReplica;
+import org.dragonflymux.core.configuration.StoredEntry;
+import org.dragonflymux.core.document.AssignmentTable;
+import org.dragonflymux.core.document.DocumentCodec;
+import org.dragonflymux.core.document.DocumentKey;
+import org.dragonflymux.core.document.Lane;
+import org.dragonflymux.core.document.ServiceDocument;
+import org.dragonflymux.core.message.Observation;
+import org.dragonflymux.core.message.Outbox;
+import org.dragonflymux.core.message.PeerMessage;
+import org.dragonflymux.core.message.StoreCall;
+import org.dragonflymux.core.message.StoreReply;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.session.PledgeBook;
+import org.dragonflymux.core.session.SessionKeeper;
+import org.dragonflymux.core.session.StoreDesk;
+
+/** Writes the tables that this host's {@link AssignmentDuty} proposes, and gives pledges not to. */
+public final class AssignmentWriter {
+
+    /** How often tables are reviewed. */
+    public static final Duration REVIEW_INTERVAL = Duration.ofMillis(100);
+
+    /** How fresh the replica must be for a table to be changed. */
+    public static final Duration FRESH_FOR = Duration.ofMillis(1000);
+
+    private final HostId self;
+    private final ConfigurationReplica replica;
+    private final AssignmentDuty duty;
+    private final PledgeBook pledges = PledgeBook.empty();
+    private final SessionKeeper session;
+    private final StoreDesk store;
+    private final Outbox outbox;
+    private final Set<ServiceName> writing = new HashSet<>();
+    private Instant nextReview = Instant.MIN;
+    private boolean leaving;
+
+    private AssignmentWriter(
+            ConfigurationReplica replica, AssignmentDuty duty, SessionKeeper session, StoreDesk store, Outbox outbox) {
+        this.self = session.record().host();
+        this.replica = replica;
+        this.duty = duty;
+        this.session = session;
+        this.store = store;
+        this.outbox = outbox;
+    }
+
+    /** Returns a writer that has written nothing. */
+    public static AssignmentWriter of(
+            ConfigurationReplica replica, AssignmentDuty duty, SessionKeeper session, StoreDesk store, Outbox outbox) {
+        return new AssignmentWriter(replica, duty, session, store, outbox);
+    }
+
+    /** Returns the services that have tables: the operators' and the project's own. */
+    public static List<ServiceDocument> services(ConfigurationReplica replica) {
+        List<ServiceDocument> services = new ArrayList<>(replica.all(ServiceDocument.class));
+        services.add(AdmissionService.service());
+        return services;
+    }
+
+    /** Reviews all tables when that is due. */
+    public void tick(Instant now) {
+        boolean fresh = replica.staleness(now).compareTo(FRESH_FOR) <= 0;
+        boolean sessionRead = session.sessionRevision() != 0 && replica.revision() >= session.sessionRevision();
+        if (!fresh || !sessionRead) {
+            duty.observationLost();
+            return;
+        }
+        if (!now.isBefore(nextReview)) {
+            nextReview = now.plus(REVIEW_INTERVAL);
+            duty.observe(now);
+            services(replica).forEach(service -> review(service, now));
+        }
+    }
+
+    private void review(ServiceDocument service, Instant now) {
+        if (writing.contains(service.name()) || !pledges.mayWrite(service.name(), now)) {
+            return;
+        }
+        duty.propose(service, leaving, now).ifPresentOrElse(next -> write(next, now), () -> settle(service, now));
+    }
+
+    // An unanswered write can no longer take effect once the table has moved on, if only to an equal one.
+    private void settle(ServiceDocument service, Instant now) {
+        DocumentKey key = DocumentKey.assignment(service.name());
+        if (pledges.unresolved(service.name(), replica.revisionOf(key))) {
+            replica.find(key, AssignmentTable.class)
+                    .filter(table -> self.equals(table.assigner()))
+                    .ifPresent(table -> write(table, now));
+        }
+    }
+
+    private void write(AssignmentTable next, Instant now) {
+        ServiceName service = next.service();
+        DocumentKey key = next.key();
+        long expected = replica.revisionOf(key);
+        String json = DocumentCodec.toJson(next);
+        writing.add(service);
+        StoreCall.WriteTable call =
+                new StoreCall.WriteTable(service, key, expected, self, dispossessed(key, next), json);
+        long[] number = new long[1];
+        number[0] = store.call(call, now, (reply, askedAt, at) -> {
+            writing.remove(service);
+            if (!(reply instanceof StoreReply.Unavailable)) {
+                pledges.writeResolved(number[0]);
+            }
+            written(next, json, reply);
+        });
+        pledges.writeSent(number[0], service, expected);
+    }
+
+    /** Returns the hosts that lose a duty without having given it up, whose sessions must therefore be gone. */
+    private Set<HostId> dispossessed(DocumentKey key, AssignmentTable next) {
+        Set<HostId> hosts = new HashSet<>();
+        replica.find(key, AssignmentTable.class).ifPresent(known -> {
+            if (!self.equals(known.assigner())) {
+                hosts.add(known.assigner());
+                if (!self.equals(known.standby())) {
+                    hosts.add(known.standby());
+                }
+            }
+            Map<?, Lane> lanes = next.lanes().stream().collect(Collectors.toMap(Lane::target, lane -> lane));
+            known.lanes().stream()
+                    .filter(lane -> loses(lane, lanes.get(lane.target())))
+                    .forEach(lane -> hosts.add(lane.dispatcher()));
+        });
+        hosts.remove(null);
+        return hosts;
+    }
+
+    private boolean loses(Lane before, Lane after) {
+        boolean changed = after != null
+                && before.dispatcher() != null
+                && !before.dispatcher().equals(after.dispatcher());
+        return changed && replica.host(before.dispatcher()).isEmpty();
+    }
+
+    private void written(AssignmentTable table, String json, StoreReply reply) {
+        if (reply instanceof StoreReply.Conflict) {
+            outbox.note(new Observation.TableConflict(table.service()));
+        } else if (reply instanceof StoreReply.Written done) {
+            StoredEntry entry = new StoredEntry(table.key(), done.revision(), json);
+            replica.mergeEntry(entry);
+            outbox.note(new Observation.TableWritten(
+                    table.service(), done.revision(), table.moves().size()));
+            tell(table, entry);
+        }
+    }
+
+    // The hosts that act on the table hear of it at once; all others by the next polls and questions.
+    private void tell(AssignmentTable table, StoredEntry entry) {
+        Set<HostId> concerned = table.lanes().stream().map(Lane::dispatcher).collect(Collectors.toSet());
+        concerned.add(table.standby());
+        concerned.remove(self);
+        concerned.forEach(host -> replica.host(host)
+                .ifPresent(record -> outbox.send(record.peerAddress(), new PeerMessage.Notice(List.of(entry)))));
+    }
+
+    /** Answers a dispatcher that cannot reach the store, unless this host can. */
+    public boolean pledge(PeerMessage.AskPledge ask, Instant now) {
+        DocumentKey key = DocumentKey.assignment(ask.service());
+        boolean ofPair = replica.find(key, AssignmentTable.class)
+                .filter(table -> self.equals(table.assigner()) || self.equals(table.standby()))
+                .isPresent();
+        return ofPair
+                && !store.reachable(now)
+                && pledges.pledge(ask.service(), ask.tableRevision(), replica.revisionOf(key), now);
+    }
+
+    /** Prepares the handing over of this host's tables. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Tells whether this host still is the assigner of a table although others could be. */
+    public boolean stillAssigns() {
+        return duty.liveHosts().size() > 1
+                && replica.all(AssignmentTable.class).stream().anyMatch(table -> self.equals(table.assigner()));
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/PlanInput.java
@@ -0,0 +1,31 @@
+package org.dragonflymux.core.assignment;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import org.dragonflymux.core.document.HostRecord;
+import org.dragonflymux.core.document.KeyPin;
+import org.dragonflymux.core.document.ServiceDocument;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.TargetId;
+
+/**
+ * All that a plan depends on besides the table.
+ *
+ * @param self the planning host
+ * @param service the service's document
+ * @param liveHosts the hosts whose sessions are in the store
+ * @param domainsOut the failure domains that operators took out
+ * @param drained the targets that operators drain
+ * @param pins the wanted pins, by key hash
+ * @param reports the newest report of each lane
+ */
+public record PlanInput(
+        HostId self,
+        ServiceDocument service,
+        SortedMap<HostId, HostRecord> liveHosts,
+        Set<FailureDomain> domainsOut,
+        Set<TargetId> drained,
+        SortedMap<String, KeyPin> pins,
+        Map<TargetId, LaneReport> reports) {}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TableDraft.java
@@ -0,0 +1,108 @@
+package org.dragonflymux.core.assignment;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.dragonflymux.core.document.AssignmentTable;
+import org.dragonflymux.core.document.Lane;
+import org.dragonflymux.core.document.LaneState;
+import org.dragonflymux.core.document.UnitMove;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+
+/** An assignment table in the making, with targets in place of lane indexes. */
+final class TableDraft {
+
+    final Map<TargetId, Lane> lanes = new LinkedHashMap<>();
+    final List<TargetId> owners = new ArrayList<>();
+    final List<String> pins = new ArrayList<>();
+    final Map<Integer, UnitMove> moves = new TreeMap<>();
+    HostId assigner;
+    HostId standby;
+    long term;
+
+    private final ServiceName service;
+    private final int partitions;
+    private long nextFence;
+
+    private TableDraft(ServiceName service, int partitions) {
+        this.service = service;
+        this.partitions = partitions;
+    }
+
+    static TableDraft create(ServiceName service, int partitions) {
+        TableDraft draft = new TableDraft(service, partitions);
+        draft.nextFence = 1;
+        for (int i = 0; i < partitions; i++) {
+            draft.owners.add(null);
+        }
+        return draft;
+    }
+
+    static TableDraft of(AssignmentTable table) {
+        TableDraft draft = new TableDraft(table.service(), table.partitions());
+        draft.assigner = table.assigner();
+        draft.standby = table.standby();
+        draft.term = table.term();
+        draft.nextFence = table.nextFence();
+        table.lanes().forEach(lane -> draft.lanes.put(lane.target(), lane));
+        table.owners()
+                .forEach(index -> draft.owners.add(
+                        index == AssignmentTable.NO_LANE
+                                ? null
+                                : table.lanes().get(index).target()));
+        draft.pins.addAll(table.pins());
+        table.moves().forEach(move -> draft.moves.put(move.unit(), move));
+        return draft;
+    }
+
+    int partitions() {
+        return partitions;
+    }
+
+    /** Gives a lane to a dispatcher under a fencing token that no earlier dispatcher had. */
+    void open(TargetId target, HostId dispatcher, LaneState state) {
+        lanes.put(target, new Lane(target, dispatcher, nextFence++, state));
+    }
+
+    /** Starts a move that commits once the owner's dispatcher has closed the unit. */
+    void startMove(int unit, TargetId to) {
+        moves.put(unit, new UnitMove(unit, to, nextFence++));
+    }
+
+    int unitsOf(TargetId target) {
+        int units = 0;
+        for (int unit = 0; unit < owners.size(); unit++) {
+            TargetId owner = moves.containsKey(unit) ? moves.get(unit).to() : owners.get(unit);
+            units += target.equals(owner) ? 1 : 0;
+        }
+        return units;
+    }
+
+    boolean ownsAny(TargetId target) {
+        return owners.contains(target)
+                || moves.values().stream().anyMatch(move -> move.to().equals(target));
+    }
+
+    AssignmentTable build() {
+        List<Lane> ordered = new ArrayList<>(lanes.values());
+        Map<TargetId, Integer> indexes = new LinkedHashMap<>();
+        ordered.forEach(lane -> indexes.put(lane.target(), indexes.size()));
+        List<Integer> ownerIndexes = new ArrayList<>(owners.size());
+        owners.forEach(owner -> ownerIndexes.add(owner == null ? AssignmentTable.NO_LANE : indexes.get(owner)));
+        return new AssignmentTable(
+                service,
+                term,
+                assigner,
+                standby,
+                nextFence,
+                partitions,
+                pins,
+                ordered,
+                ownerIndexes,
+                List.copyOf(moves.values()));
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
@@ -0,0 +1,366 @@
+package org.dragonflymux.core.assignment;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dragonflymux.core.document.AssignmentTable;
+import org.dragonflymux.core.document.HostRecord;
+import org.dragonflymux.core.document.Lane;
+import org.dragonflymux.core.document.LaneState;
+import org.dragonflymux.core.document.TargetDeclaration;
+import org.dragonflymux.core.document.UnitMove;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.TargetId;
+
+/**
+ * Computes the next assignment table of a service.
+ *
+ * <p>A unit changes its owner in one of two ways only: its move was closed by the dispatcher of the present owner, or
+ * that dispatcher reported the target lost under the lane's present fencing token. A lane changes its dispatcher only
+ * when the dispatcher closed it or the dispatcher's session is gone.
+ */
+public final class TablePlanner {
+
+    private static final int MAX_EVACUATING_UNITS = 64;
+    private static final int MAX_BALANCING_UNITS = 4;
+    private static final double HOT_LANE_RATIO = 1.3;
+    private static final double HOT_LANE_LEAST_RATE = 20.0;
+
+    private final PlanInput input;
+    private final TableDraft draft;
+
+    private TablePlanner(PlanInput input, TableDraft draft) {
+        this.input = input;
+        this.draft = draft;
+    }
+
+    /** Returns the first table of a service. */
+    public static AssignmentTable create(PlanInput input) {
+        TableDraft draft =
+                TableDraft.create(input.service().name(), input.service().partitions());
+        draft.assigner = input.self();
+        draft.term = 1;
+        return new TablePlanner(input, draft).plan();
+    }
+
+    /** Returns the table that follows a table; equal to it when nothing is to be done. */
+    public static AssignmentTable next(PlanInput input, AssignmentTable table) {
+        TableDraft draft = TableDraft.of(table);
+        if (!input.self().equals(draft.assigner)) {
+            draft.assigner = input.self();
+            draft.term++;
+        }
+        return new TablePlanner(input, draft).plan();
+    }
+
+    private AssignmentTable plan() {
+        chooseStandby();
+        addLanes();
+        repairDispatchers();
+        applyReports();
+        commitMoves();
+        placeOrphans();
+        applyPins();
+        evacuate();
+        balanceCounts();
+        balanceLoad();
+        removeLanes();
+        return draft.build();
+    }
+
+    /** Hands the duty to the standby, for an assigner that shuts down. */
+    public static AssignmentTable handOver(AssignmentTable table) {
+        TableDraft draft = TableDraft.of(table);
+        draft.assigner = table.standby();
+        draft.standby = null;
+        draft.term++;
+        return draft.build();
+    }
+
+    private void chooseStandby() {
+        boolean usable = draft.standby != null && !draft.standby.equals(draft.assigner) && staying(draft.standby);
+        if (usable) {
+            return;
+        }
+        FailureDomain own = domainOf(input.self());
+        draft.standby = input.liveHosts().values().stream()
+                .filter(host -> !host.leaving() && !host.host().equals(draft.assigner))
+                .min(Comparator.comparing((HostRecord host) -> standbyRank(host, own))
+                        .thenComparing(HostRecord::host))
+                .map(HostRecord::host)
+                .orElse(null);
+    }
+
+    // With a home, the pair stays there, so that the home goes on while it is cut off; else two domains share it.
+    private int standbyRank(HostRecord host, FailureDomain own) {
+        FailureDomain home = input.service().home();
+        if (home != null) {
+            return host.domain().equals(home) ? 0 : 1;
+        }
+        return host.domain().equals(own) ? 1 : 0;
+    }
+
+    private FailureDomain domainOf(HostId host) {
+        HostRecord live = input.liveHosts().get(host);
+        return live == null ? null : live.domain();
+    }
+
+    private boolean staying(HostId host) {
+        HostRecord live = input.liveHosts().get(host);
+        return live != null && !live.leaving();
+    }
+
+    private void addLanes() {
+        for (TargetDeclaration target : input.service().targets()) {
+            draft.lanes.computeIfAbsent(target.id(), id -> new Lane(id, null, 0, LaneState.LOST));
+        }
+    }
+
+    private void repairDispatchers() {
+        for (Lane lane : List.copyOf(draft.lanes.values())) {
+            repairDispatcher(lane);
+        }
+    }
+
+    private void repairDispatcher(Lane lane) {
+        boolean gone = lane.dispatcher() == null || !input.liveHosts().containsKey(lane.dispatcher());
+        boolean closed = lane.state() == LaneState.CLOSING
+                && report(lane).filter(LaneReport::closed).isPresent();
+        if (gone || closed) {
+            LaneState state = lane.state() == LaneState.LOST ? LaneState.LOST : LaneState.OPEN;
+            chooseDispatcher(lane.target()).ifPresent(host -> draft.open(lane.target(), host, state));
+        } else if (!staying(lane.dispatcher()) && lane.state() != LaneState.CLOSING && anyStaying()) {
+            draft.lanes.put(lane.target(), lane.withState(LaneState.CLOSING));
+        }
+    }
+
+    private boolean anyStaying() {
+        return input.liveHosts().values().stream().anyMatch(host -> !host.leaving());
+    }
+
+    private Optional<HostId> chooseDispatcher(TargetId target) {
+        FailureDomain domain =
+                input.service().target(target).map(TargetDeclaration::domain).orElse(null);
+        Map<HostId, Long> lanesByHost = new HashMap<>();
+        draft.lanes.values().stream()
+                .filter(lane -> lane.dispatcher() != null)
+                .forEach(lane -> lanesByHost.merge(lane.dispatcher(), 1L, Long::sum));
+        return input.liveHosts().values().stream()
+                .filter(host -> !host.leaving())
+                .min(Comparator.comparing((HostRecord host) -> host.domain().equals(domain) ? 0 : 1)
+                        .thenComparing(host -> lanesByHost.getOrDefault(host.host(), 0L))
+                        .thenComparing(HostRecord::host))
+                .map(HostRecord::host);
+    }
+
+    /** Returns the report of a lane under its present fencing token. */
+    private Optional<LaneReport> report(Lane lane) {
+        return Optional.ofNullable(input.reports().get(lane.target())).filter(found -> found.fence() == lane.fence());
+    }
+
+    private void applyReports() {
+        for (Lane lane : List.copyOf(draft.lanes.values())) {
+            TargetHealth health = report(lane).map(LaneReport::health).orElse(TargetHealth.UNCERTAIN);
+            if (health == TargetHealth.LOST && lane.state() != LaneState.LOST) {
+                lose(lane);
+            } else if (health == TargetHealth.READY && lane.state() == LaneState.LOST) {
+                draft.open(lane.target(), lane.dispatcher(), LaneState.OPEN);
+            }
+        }
+    }
+
+    private void lose(Lane lane) {
+        draft.open(lane.target(), lane.dispatcher(), LaneState.LOST);
+        draft.moves.values().removeIf(move -> move.to().equals(lane.target()));
+        for (int unit = 0; unit < draft.owners.size(); unit++) {
+            if (lane.target().equals(draft.owners.get(unit))) {
+                UnitMove move = draft.moves.remove(unit);
+                draft.owners.set(unit, move == null ? null : move.to());
+            }
+        }
+    }
+
+    private void commitMoves() {
+        for (UnitMove move : List.copyOf(draft.moves.values())) {
+            Lane from = draft.lanes.get(draft.owners.get(move.unit()));
+            if (report(from)
+                    .filter(found -> found.closedMoves().contains(move.ticket()))
+                    .isPresent()) {
+                draft.owners.set(move.unit(), move.to());
+                draft.moves.remove(move.unit());
+            }
+        }
+    }
+
+    /** Tells whether a target may be given keys. */
+    private boolean eligible(TargetId target) {
+        Lane lane = draft.lanes.get(target);
+        Optional<TargetDeclaration> declaration = input.service().target(target);
+        return lane != null
+                && lane.state() == LaneState.OPEN
+                && declaration.isPresent()
+                && !input.domainsOut().contains(declaration.get().domain())
+                && !input.drained().contains(target)
+                && report(lane).map(LaneReport::health).orElse(TargetHealth.UNCERTAIN) != TargetHealth.LEAVING;
+    }
+
+    private List<TargetId> eligibleTargets() {
+        return draft.lanes.keySet().stream().filter(this::eligible).toList();
+    }
+
+    private double fill(TargetId target, Map<TargetId, Integer> units) {
+        int slots = input.service().target(target).map(TargetDeclaration::slots).orElse(1);
+        return (double) units.get(target) / slots;
+    }
+
+    private Map<TargetId, Integer> unitCounts() {
+        Map<TargetId, Integer> units = new HashMap<>();
+        draft.lanes.keySet().forEach(target -> units.put(target, draft.unitsOf(target)));
+        return units;
+    }
+
+    private Optional<TargetId> emptiest(List<TargetId> targets, Map<TargetId, Integer> units) {
+        return targets.stream()
+                .min(Comparator.comparingDouble((TargetId target) -> fill(target, units))
+                        .thenComparing(target -> target));
+    }
+
+    private void placeOrphans() {
+        List<TargetId> targets = eligibleTargets();
+        Map<TargetId, Integer> units = unitCounts();
+        for (int unit = 0; unit < draft.owners.size(); unit++) {
+            if (draft.owners.get(unit) == null) {
+                Optional<TargetId> owner = emptiest(targets, units);
+                int orphan = unit;
+                owner.ifPresent(target -> {
+                    draft.owners.set(orphan, target);
+                    units.merge(target, 1, Integer::sum);
+                });
+            }
+        }
+    }
+
+    private void applyPins() {
+        input.pins().forEach((keyHash, pin) -> {
+            int unit = pinUnit(keyHash);
+            boolean move =
+                    unit >= 0 && !draft.moves.containsKey(unit) && !pin.target().equals(draft.owners.get(unit));
+            if (move && eligible(pin.target())) {
+                draft.startMove(unit, pin.target());
+            }
+        });
+    }
+
+    /** Returns the unit of a pinned key, splitting it off its partition first; -1 while the partition moves. */
+    private int pinUnit(String keyHash) {
+        int index = draft.pins.indexOf(keyHash);
+        if (index >= 0) {
+            return draft.partitions() + index;
+        }
+        int partition = KeyHash.partition(Long.parseUnsignedLong(keyHash, 16), draft.partitions());
+        if (draft.moves.containsKey(partition)) {
+            return -1;
+        }
+        draft.pins.add(keyHash);
+        draft.owners.add(draft.owners.get(partition));
+        return draft.owners.size() - 1;
+    }
+
+    private void evacuate() {
+        List<TargetId> targets = eligibleTargets();
+        Map<TargetId, Integer> units = unitCounts();
+        for (int unit = 0; unit < draft.owners.size() && draft.moves.size() < MAX_EVACUATING_UNITS; unit++) {
+            TargetId owner = draft.owners.get(unit);
+            boolean leaving =
+                    owner != null && !eligible(owner) && draft.lanes.get(owner).state() != LaneState.CLOSING;
+            if (leaving && !draft.moves.containsKey(unit) && !targets.isEmpty()) {
+                startMove(unit, emptiest(targets, units).orElseThrow(), units);
+            }
+        }
+    }
+
+    private void startMove(int unit, TargetId to, Map<TargetId, Integer> units) {
+        units.merge(draft.owners.get(unit), -1, Integer::sum);
+        units.merge(to, 1, Integer::sum);
+        draft.startMove(unit, to);
+    }
+
+    private void balanceCounts() {
+        List<TargetId> targets = eligibleTargets();
+        Map<TargetId, Integer> units = unitCounts();
+        while (targets.size() > 1 && draft.moves.size() < MAX_BALANCING_UNITS) {
+            TargetId to = emptiest(targets, units).orElseThrow();
+            TargetId from = targets.stream()
+                    .max(Comparator.comparingDouble((TargetId target) -> fill(target, units))
+                            .thenComparing(target -> target))
+                    .orElseThrow();
+            // Two units apart, so that a move never calls for the move back.
+            boolean uneven = units.get(from) - units.get(to) >= 2 && fill(from, units) > 1.1 * fill(to, units) + 1;
+            Optional<Integer> unit = uneven ? movablePartition(from) : Optional.empty();
+            if (unit.isEmpty()) {
+                return;
+            }
+            startMove(unit.get(), to, units);
+        }
+    }
+
+    private Optional<Integer> movablePartition(TargetId owner) {
+        for (int unit = 0; unit < draft.partitions(); unit++) {
+            if (owner.equals(draft.owners.get(unit)) && !draft.moves.containsKey(unit)) {
+                return Optional.of(unit);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void balanceLoad() {
+        List<TargetId> targets = eligibleTargets();
+        if (targets.size() < 2 || !draft.moves.isEmpty()) {
+            return;
+        }
+        Map<TargetId, Double> rates = new HashMap<>();
+        targets.forEach(target -> rates.put(target, reportedRate(target)));
+        TargetId hottest =
+                targets.stream().max(Comparator.comparingDouble(rates::get)).orElseThrow();
+        TargetId coolest =
+                targets.stream().min(Comparator.comparingDouble(rates::get)).orElseThrow();
+        double mean = rates.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .average()
+                .orElse(0);
+        if (rates.get(hottest) < HOT_LANE_LEAST_RATE || rates.get(hottest) < HOT_LANE_RATIO * mean) {
+            return;
+        }
+        double surplus = (rates.get(hottest) - rates.get(coolest)) / 2;
+        relievingUnit(hottest, surplus).ifPresent(unit -> draft.startMove(unit, coolest));
+    }
+
+    private double reportedRate(TargetId target) {
+        return report(draft.lanes.get(target))
+                .map(found -> found.hottest().stream()
+                        .mapToDouble(UnitLoad::requestsPerSecond)
+                        .sum())
+                .orElse(0.0);
+    }
+
+    /** Returns the hottest unit whose move leaves the receiver no hotter than the giver. */
+    private Optional<Integer> relievingUnit(TargetId from, double surplus) {
+        List<UnitLoad> loads = new ArrayList<>();
+        report(draft.lanes.get(from)).ifPresent(found -> loads.addAll(found.hottest()));
+        return loads.stream()
+                .filter(load -> load.requestsPerSecond() <= surplus)
+                .filter(load -> load.unit() < draft.partitions() && from.equals(draft.owners.get(load.unit())))
+                .max(Comparator.comparingDouble(UnitLoad::requestsPerSecond))
+                .map(UnitLoad::unit);
+    }
+
+    private void removeLanes() {
+        draft.lanes
+                .values()
+                .removeIf(lane -> input.service().target(lane.target()).isEmpty() && !draft.ownsAny(lane.target()));
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/configuration/ConfigurationReplica.java
@@ -0,0 +1,159 @@
+package org.dragonflymux.core.configuration;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.dragonflymux.core.document.Document;
+import org.dragonflymux.core.document.DocumentCodec;
+import org.dragonflymux.core.document.DocumentError;
+import org.dragonflymux.core.document.DocumentKey;
+import org.dragonflymux.core.document.HostRecord;
+import org.dragonflymux.core.name.HostId;
+
+/**
+ * A host's copy of the project's keys in the store.
+ *
+ * <p>Each key keeps the entry with the highest store revision, so that late, doubled and reordered entries never
+ * revert a key. {@link #revision()} is the revision up to which the copy is complete; it only grows.
+ */
+public final class ConfigurationReplica {
+
+    private final Map<DocumentKey, StoredEntry> entries = new TreeMap<>();
+    private final Map<DocumentKey, Document> documents = new HashMap<>();
+    private final Consumer<DocumentKey> changeListener;
+    private long revision;
+    private Instant confirmedAt = Instant.MIN;
+
+    private ConfigurationReplica(Consumer<DocumentKey> changeListener) {
+        this.changeListener = changeListener;
+    }
+
+    /**
+     * Returns an empty replica.
+     *
+     * @param changeListener told each key whose document changed
+     */
+    public static ConfigurationReplica empty(Consumer<DocumentKey> changeListener) {
+        return new ConfigurationReplica(changeListener);
+    }
+
+    /**
+     * Merges entries that, with what the replica already has, are complete up to a revision.
+     *
+     * @param changed all entries changed since the revision that was asked for
+     * @param completeSince the revision that was asked for
+     * @param completeTo the revision of the answer
+     */
+    public void merge(Collection<StoredEntry> changed, long completeSince, long completeTo) {
+        changed.forEach(this::mergeEntry);
+        if (completeSince <= revision) {
+            revision = Math.max(revision, completeTo);
+        }
+    }
+
+    /** Merges one entry whose neighbours are not known. */
+    public void mergeEntry(StoredEntry entry) {
+        StoredEntry known = entries.get(entry.key());
+        if (known != null && known.revision() >= entry.revision()) {
+            return;
+        }
+        entries.put(entry.key(), entry);
+        decode(entry);
+        changeListener.accept(entry.key());
+    }
+
+    private void decode(StoredEntry entry) {
+        if (entry.deleted()) {
+            documents.remove(entry.key());
+            return;
+        }
+        Either<List<DocumentError>, Document> decoded = DocumentCodec.fromJson(entry.json());
+        // A value that this version cannot read leaves the last readable document in force.
+        decoded.forEach(document -> documents.put(entry.key(), document));
+    }
+
+    /**
+     * Deletes the sessions that a full list of the store no longer has.
+     *
+     * @param present the session keys in the store
+     * @param listRevision the store revision of the list
+     */
+    public void retainSessions(Set<DocumentKey> present, long listRevision) {
+        Set<DocumentKey> absent = new HashSet<>(sessionKeys());
+        absent.removeAll(present);
+        absent.forEach(key -> mergeEntry(new StoredEntry(key, listRevision, null)));
+    }
+
+    /** Returns the session keys that are not deleted. */
+    public List<DocumentKey> sessionKeys() {
+        return documents.keySet().stream().filter(DocumentKey::isSession).toList();
+    }
+
+    /** Notes that at an instant the store held nothing newer than {@link #revision()}. */
+    public void confirm(Instant instant) {
+        if (instant.isAfter(confirmedAt)) {
+            confirmedAt = instant;
+        }
+    }
+
+    /** Returns how long ago the replica was known to be complete. */
+    public Duration staleness(Instant now) {
+        return confirmedAt.equals(Instant.MIN) ? Duration.ofDays(1) : Duration.between(confirmedAt, now);
+    }
+
+    /** Returns the entries changed after a revision, oldest first. */
+    public List<StoredEntry> since(long since) {
+        if (since >= revision) {
+            return List.of();
+        }
+        List<StoredEntry> changed = new ArrayList<>();
+        for (StoredEntry entry : entries.values()) {
+            if (entry.revision() > since) {
+                changed.add(entry);
+            }
+        }
+        changed.sort(Comparator.comparingLong(StoredEntry::revision));
+        return changed;
+    }
+
+    /** Returns the revision up to which the replica is complete. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns the revision of the last change of a key, or 0 when the key was never set or is deleted. */
+    public long revisionOf(DocumentKey key) {
+        StoredEntry entry = entries.get(key);
+        return entry == null || entry.deleted() ? 0 : entry.revision();
+    }
+
+    /** Returns the document under a key, if it is there and of the asked type. */
+    public <T extends Document> Optional<T> find(DocumentKey key, Class<T> type) {
+        return Optional.ofNullable(documents.get(key)).filter(type::isInstance).map(type::cast);
+    }
+
+    /** Returns all documents of a type. */
+    public <T extends Document> List<T> all(Class<T> type) {
+        return documents.values().stream()
+                .filter(type::isInstance)
+                .map(type::cast)
+                .sorted(Comparator.comparing(Document::key))
+                .toList();
+    }
+
+    /** Returns the record of an entry host whose session is in the store, if any. */
+    public Optional<HostRecord> host(HostId host) {
+        return host == null ? Optional.empty() : find(DocumentKey.session(host), HostRecord.class);
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/credential/package-info.java
@@ -0,0 +1,2 @@
+/** Customer credentials and how long they may be trusted without news. */
+package org.dragonflymux.core.credential;
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/FairQueue.java
@@ -0,0 +1,126 @@
+package org.dragonflymux.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.dragonflymux.core.name.CustomerName;
+
+/**
+ * A bounded queue that serves customers by weight: start-time fair queueing.
+ *
+ * <p>When it is full, the customer with the most requests for its weight gives way, not the one that comes last.
+ */
+public final class FairQueue {
+
+    private record Position(double start, long sequence) implements Comparable<Position> {
+        @Override
+        public int compareTo(Position other) {
+            int byStart = Double.compare(start, other.start);
+            return byStart != 0 ? byStart : Long.compare(sequence, other.sequence);
+        }
+    }
+
+    private final int capacity;
+    private final TreeMap<Position, QueuedRequest> order = new TreeMap<>();
+    private final Map<CustomerName, Double> lastFinish = new HashMap<>();
+    private final Map<CustomerName, Integer> lengths = new HashMap<>();
+    private double virtualTime;
+    private long sequence;
+
+    private FairQueue(int capacity) {
+        this.capacity = capacity;
+    }
+
+    /**
+     * Returns an empty queue.
+     *
+     * @param capacity the most requests that wait
+     */
+    public static FairQueue withCapacity(int capacity) {
+        return new FairQueue(capacity);
+    }
+
+    /** Returns how many requests wait. */
+    public int size() {
+        return order.size();
+    }
+
+    /** Returns how many waiting requests a new request of a customer would wait for. */
+    public int ahead(CustomerName customer) {
+        double start = Math.max(virtualTime, lastFinish.getOrDefault(customer, 0.0));
+        return order.headMap(new Position(start, Long.MAX_VALUE)).size();
+    }
+
+    /**
+     * Adds a request.
+     *
+     * @return the request that gives way, if the queue was full; possibly the added one
+     */
+    public Optional<QueuedRequest> add(QueuedRequest request) {
+        CustomerName customer = request.request().customer();
+        double start = Math.max(virtualTime, lastFinish.getOrDefault(customer, 0.0));
+        lastFinish.put(customer, start + 1.0 / request.weight());
+        order.put(new Position(start, sequence++), request);
+        lengths.merge(customer, 1, Integer::sum);
+        return order.size() > capacity ? Optional.of(dropFromLongest()) : Optional.empty();
+    }
+
+    private QueuedRequest dropFromLongest() {
+        Map.Entry<Position, QueuedRequest> longest = null;
+        double longestBacklog = 0;
+        for (Map.Entry<Position, QueuedRequest> entry : order.descendingMap().entrySet()) {
+            double backlog = (double) lengths.get(entry.getValue().request().customer())
+                    / entry.getValue().weight();
+            if (backlog > longestBacklog) {
+                longestBacklog = backlog;
+                longest = entry;
+            }
+        }
+        remove(longest.getKey());
+        double share = 1.0 / longest.getValue().weight();
+        lastFinish.computeIfPresent(longest.getValue().request().customer(), (name, finish) -> finish - share);
+        return longest.getValue();
+    }
+
+    private QueuedRequest remove(Position position) {
+        QueuedRequest removed = order.remove(position);
+        CustomerName customer = removed.request().customer();
+        lengths.computeIfPresent(customer, (name, length) -> length == 1 ? null : length - 1);
+        return removed;
+    }
+
+    /** Removes and returns the next request that may start. */
+    public Optional<QueuedRequest> poll(Predicate<QueuedRequest> mayStart) {
+        for (Map.Entry<Position, QueuedRequest> entry : order.entrySet()) {
+            if (mayStart.test(entry.getValue())) {
+                virtualTime = Math.max(virtualTime, entry.getKey().start());
+                QueuedRequest next = remove(entry.getKey());
+                forgetIdle();
+                return Optional.of(next);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void forgetIdle() {
+        if (order.isEmpty()) {
+            lastFinish.clear();
+            virtualTime = 0;
+        }
+    }
+
+    /** Removes and returns all requests that match. */
+    public List<QueuedRequest> removeIf(Predicate<QueuedRequest> condition) {
+        List<QueuedRequest> removed = new ArrayList<>();
+        for (Position position : List.copyOf(order.keySet())) {
+            if (condition.test(order.get(position))) {
+                removed.add(remove(position));
+            }
+        }
+        return removed;
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/document/AssignmentTable.java
@@ -0,0 +1,53 @@
+package org.dragonflymux.core.document;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import java.util.List;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+
+/**
+ * Who owns each unit of a service's key space, and which hosts may change that.
+ *
+ * <p>A unit is a partition of the hashed key space or a single pinned key. The table is changed only by compare-and-swap
+ * on its own revision, by its assigner, or by its standby once the assigner's session is gone.
+ *
+ * @param service the service
+ * @param term grows each time another host becomes assigner
+ * @param assigner the host that changes the table
+ * @param standby the host that takes over from the assigner, or null when no other host is live
+ * @param nextFence the fencing token that the next change of a lane gets
+ * @param partitions how many of the units are partitions
+ * @param pins the hashes of the pinned keys, 16 hexadecimal digits each
+ * @param lanes the targets with their dispatchers
+ * @param owners for each unit the index of its lane, or -1 when no target can own it
+ * @param moves the moves in progress
+ */
+public record AssignmentTable(
+        ServiceName service,
+        long term,
+        HostId assigner,
+        HostId standby,
+        long nextFence,
+        int partitions,
+        List<String> pins,
+        List<Lane> lanes,
+        List<Integer> owners,
+        List<UnitMove> moves)
+        implements Document {
+
+    /** The owner index of a unit that no target can own. */
+    public static final int NO_LANE = -1;
+
+    public AssignmentTable {
+        pins = List.copyOf(pins);
+        lanes = List.copyOf(lanes);
+        owners = List.copyOf(owners);
+        moves = List.copyOf(moves);
+    }
+
+    @Override
+    @JsonIgnore
+    public DocumentKey key() {
+        return DocumentKey.assignment(service);
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/document/TargetDeclaration.java
@@ -0,0 +1,14 @@
+package org.dragonflymux.core.document;
+
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.TargetId;
+
+/**
+ * A server that holds keys of a service.
+ *
+ * @param id the target's name within its service
+ * @param domain the failure domain that the target runs in
+ * @param address IP number and port, as {@code 10.0.0.1:8080}
+ * @param slots how many requests the target runs at once
+ */
+public record TargetDeclaration(TargetId id, FailureDomain domain, String address, int slots) {}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/document/TargetIntent.java
@@ -0,0 +1,21 @@
+package org.dragonflymux.core.document;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+
+/**
+ * An operator's decision to drain a target or use it again.
+ *
+ * @param service the service
+ * @param target the target
+ * @param drain whether the target gets no new work
+ */
+public record TargetIntent(ServiceName service, TargetId target, boolean drain) implements Document {
+
+    @Override
+    @JsonIgnore
+    public DocumentKey key() {
+        return DocumentKey.target(service, target);
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/message/CallerRequest.java
@@ -0,0 +1,29 @@
+package org.dragonflymux.core.message;
+
+import java.time.Instant;
+import java.util.List;
+import org.dragonflymux.core.name.ServiceName;
+
+/**
+ * A request as it came from a caller.
+ *
+ * @param credential the caller's credential, or null; it goes no further than the entry host that received it
+ * @param service the service
+ * @param key the key that decides the owner
+ * @param method the HTTP method
+ * @param path the path for the target, with the query
+ * @param headers the headers for the target
+ * @param body the body, possibly empty
+ * @param idempotencyKey the caller's idempotency key, or null
+ * @param deadline when the caller stops waiting, or null for the service's default
+ */
+public record CallerRequest(
+        String credential,
+        ServiceName service,
+        String key,
+        String method,
+        String path,
+        List<Header> headers,
+        byte[] body,
+        String idempotencyKey,
+        Instant deadline) {}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/name/TargetId.java
@@ -0,0 +1,37 @@
+package org.dragonflymux.core.name;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * The name of a target, unique within its service.
+ *
+ * @param value 1 to 63 characters, lower-case letters, digits, '-' and '.'
+ */
+public record TargetId(@JsonValue String value) implements Comparable<TargetId> {
+
+    /**
+     * Creates a name.
+     *
+     * @throws InvalidNameException if the value is not a well-formed name
+     */
+    public TargetId {
+        Names.check("target", value);
+    }
+
+    /** Returns the name with the given value. */
+    @JsonCreator
+    public static TargetId of(String value) {
+        return new TargetId(value);
+    }
+
+    @Override
+    public int compareTo(TargetId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/name/package-info.java
@@ -0,0 +1,2 @@
+/** Typed names for hosts, failure domains, services, customers and targets. */
+package org.dragonflymux.core.name;
