Thin whole path: entry hosts, operators' command and stand-ins as separate processes

Cause: the decision logic had no shell; nothing served a request. Change: Ratpack servers and clients, MessagePack links between entry hosts with a mutual proof of the shared secret, the store over the etcd v3 JSON gateway, flags and variables checked together, dragonflyctl, and stand-ins for store and targets. Conclusion: the path stands; links still close with SECRET at times at start.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
@@ -290,7 +290,7 @@
                 request.deadline(),
                 attemptTimeout(holder, request, submission, now),
                 holder.service().maxAnswerBytes(),
-                submission.attempts() > 1));
+                !request.repeatable() || submission.attempts() > 1));
     }
 
     // A repeatable request leaves time for a second attempt, since its connection may have gone silent.
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/session/DutyAuthority.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/session/DutyAuthority.java
@@ -82,8 +82,7 @@
      * @param relays gives addresses of hosts that may reach the store
      */
     public void seek(Set<ServiceName> dispatched, Supplier<List<String>> relays, Instant now) {
-        boolean failing =
-                session.lease() != 0 && !now.isBefore(authority.sessionUntil().minus(SEEK_BEFORE));
+        boolean failing = session.lease() != 0 && !now.plus(SEEK_BEFORE).isBefore(authority.sessionUntil());
         if (!failing || now.isBefore(nextSeek)) {
             return;
         }
--- /dev/null
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/command/Commands.java
@@ -0,0 +1,28 @@
+package org.dragonflymux.ctl.command;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** All commands. */
+public final class Commands {
+
+    private static final List<Command> ALL = all();
+
+    private Commands() {}
+
+    /** Returns all commands, in the order of help. */
+    public static List<Command> all() {
+        List<Command> commands = new ArrayList<>(DocumentCommands.all());
+        commands.addAll(FleetCommands.all());
+        commands.addAll(CredentialCommands.all());
+        return List.copyOf(commands);
+    }
+
+    /** Finds the command whose words the arguments start with. */
+    public static Optional<Command> find(List<String> arguments) {
+        return ALL.stream()
+                .filter(command -> String.join(" ", arguments).concat(" ").startsWith(command.name() + " "))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of dragonflyctl, one class each. */
+package org.dragonflymux.ctl.command;
--- /dev/null
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The program dragonflyctl, for operators. */
+package org.dragonflymux.ctl;
--- /dev/null
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/store/DocumentStore.java
@@ -0,0 +1,145 @@
+package org.dragonflymux.ctl.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
+import org.dragonflymux.core.configuration.StoredEntry;
+import org.dragonflymux.core.document.Document;
+import org.dragonflymux.core.document.DocumentCodec;
+import org.dragonflymux.core.document.DocumentKey;
+import org.dragonflymux.core.message.StoreReply;
+import org.dragonflymux.ctl.CtlError;
+import org.dragonflymux.platform.http.Executions;
+import org.dragonflymux.platform.store.EtcdCodec;
+import org.dragonflymux.platform.store.EtcdRequest;
+import org.dragonflymux.platform.store.StoreClient;
+
+/** The operators' documents in the store. Writes are conditional on the revision that was read. */
+public final class DocumentStore implements AutoCloseable {
+
+    private static final int UNANSWERED_WRITE_READS = 3;
+
+    private final Executions executions;
+    private final StoreClient client;
+
+    private DocumentStore(Executions executions, StoreClient client) {
+        this.executions = executions;
+        this.client = client;
+    }
+
+    /** Returns the documents in the store at an address. */
+    public static DocumentStore at(URI address) {
+        Executions executions = Executions.withThreads(1);
+        return new DocumentStore(executions, StoreClient.of(address, executions));
+    }
+
+    private Either<CtlError, JsonNode> call(EtcdRequest request) {
+        CompletableFuture<Either<CtlError, JsonNode>> answer = new CompletableFuture<>();
+        client.send(
+                request,
+                node -> answer.complete(
+                        node.has("code") ? Either.left(new CtlError.StoreUnreachable()) : Either.right(node)),
+                () -> answer.complete(Either.left(new CtlError.StoreUnreachable())));
+        return answer.join();
+    }
+
+    /** Reads all documents whose keys start with a prefix. */
+    public Either<CtlError, List<VersionedDocument>> list(String prefix) {
+        return range(prefix, EtcdCodec.prefixEnd(prefix));
+    }
+
+    /** Reads one document. */
+    public Either<CtlError, Optional<VersionedDocument>> find(DocumentKey key) {
+        return range(key.path(), key.path() + '\0').map(found -> found.stream().findFirst());
+    }
+
+    private Either<CtlError, List<VersionedDocument>> range(String from, String to) {
+        ObjectNode body = JsonNodeFactory.instance
+                .objectNode()
+                .put("key", EtcdCodec.base64(from))
+                .put("range_end", EtcdCodec.base64(to));
+        return call(new EtcdRequest(EtcdCodec.RANGE, body)).map(DocumentStore::documents);
+    }
+
+    private static List<VersionedDocument> documents(JsonNode range) {
+        List<VersionedDocument> documents = new ArrayList<>();
+        for (StoredEntry entry : EtcdCodec.entries(range)) {
+            DocumentCodec.fromJson(entry.json())
+                    .forEach(document -> documents.add(new VersionedDocument(document, entry.revision())));
+        }
+        return documents;
+    }
+
+    /**
+     * Writes a document if the store still has it at a revision.
+     *
+     * <p>When the answer is lost, the store is read back to learn whether the write took effect.
+     *
+     * @param expectedRevision the revision that was read, 0 when there was none
+     * @return the revision of the written document
+     */
+    public Either<CtlError, Long> write(Document document, long expectedRevision) {
+        String json = DocumentCodec.toJson(document);
+        Either<CtlError, JsonNode> answer = call(EtcdCodec.compareAndSwap(document.key(), expectedRevision, json));
+        if (answer.isLeft()) {
+            return readBack(document, expectedRevision);
+        }
+        StoreReply reply = EtcdCodec.swapped(answer.get());
+        if (reply instanceof StoreReply.Written written) {
+            return Either.right(written.revision());
+        }
+        return find(document.key()).flatMap(found -> Either.left(conflict(document, found)));
+    }
+
+    private static CtlError conflict(Document wanted, Optional<VersionedDocument> found) {
+        String theirs =
+                found.map(known -> DocumentCodec.toYaml(known.document())).orElse("");
+        return new CtlError.Conflict(wanted.key(), TextDiff.of(theirs, DocumentCodec.toYaml(wanted)));
+    }
+
+    private Either<CtlError, Long> readBack(Document document, long expectedRevision) {
+        for (int i = 0; i < UNANSWERED_WRITE_READS; i++) {
+            Either<CtlError, Optional<VersionedDocument>> found = find(document.key());
+            if (found.isRight()) {
+                Optional<VersionedDocument> known = found.get();
+                boolean written = known.filter(now -> now.revision() > expectedRevision
+                                && now.document().equals(document))
+                        .isPresent();
+                return written
+                        ? Either.right(known.get().revision())
+                        : Either.left(new CtlError.WriteUncertain(document.key()));
+            }
+        }
+        return Either.left(new CtlError.WriteUncertain(document.key()));
+    }
+
+    /** Reads a document, changes it and writes it back. */
+    public <T extends Document> Either<CtlError, T> change(DocumentKey key, Class<T> type, UnaryOperator<T> change) {
+        return find(key).flatMap(found -> {
+            if (found.isEmpty() || !type.isInstance(found.get().document())) {
+                return Either.left(new CtlError.NotFound(key));
+            }
+            T changed = change.apply(type.cast(found.get().document()));
+            return write(changed, found.get().revision()).map(revision -> changed);
+        });
+    }
+
+    /** Writes a document over whatever is there, unless it changes meanwhile. */
+    public Either<CtlError, Long> replace(Document document) {
+        return find(document.key())
+                .flatMap(found ->
+                        write(document, found.map(VersionedDocument::revision).orElse(0L)));
+    }
+
+    @Override
+    public void close() {
+        executions.close();
+    }
+}
--- /dev/null
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/Entry.java
@@ -0,0 +1,204 @@
+package org.dragonflymux.entry;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflymux.core.document.HostRecord;
+import org.dragonflymux.core.host.EntryHost;
+import org.dragonflymux.core.message.Effect;
+import org.dragonflymux.core.message.Event;
+import org.dragonflymux.core.message.PeerMessage;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.entry.caller.CallerServer;
+import org.dragonflymux.entry.target.TargetClient;
+import org.dragonflymux.entry.telemetry.EntryMetrics;
+import org.dragonflymux.entry.telemetry.ObservationLog;
+import org.dragonflymux.platform.http.Executions;
+import org.dragonflymux.platform.peer.PeerListener;
+import org.dragonflymux.platform.peer.PeerNetwork;
+import org.dragonflymux.platform.peer.PeerProtocolError;
+import org.dragonflymux.platform.settings.Program;
+import org.dragonflymux.platform.settings.Setting;
+import org.dragonflymux.platform.settings.SettingType;
+import org.dragonflymux.platform.settings.Settings;
+import org.dragonflymux.platform.store.StoreClient;
+import org.dragonflymux.platform.time.MonotonicClock;
+import ratpack.server.RatpackServer;
+
+/** The program {@code dragonfly-entry}: one entry host. */
+public final class Entry {
+
+    private static final Logger LOG = LogManager.getLogger(Entry.class);
+    private static final int MAX_INCARNATION = 1 << 30;
+    private static final int RADIX = 36;
+    private static final long EXIT_DELAY_MILLIS = 500;
+
+    static final Setting<String> NAME = Setting.required(
+            "name",
+            "the host's name; each run adds a suffix of its own",
+            SettingType.of("at most 50 of a-z, 0-9, '-'", Entry::hostName));
+    static final Setting<FailureDomain> DOMAIN = Setting.required(
+            "domain", "the host's failure domain", SettingType.of("a name of a-z, 0-9, '-'", FailureDomain::of));
+    static final Setting<InetSocketAddress> LISTEN =
+            Setting.required("listen", "where callers connect", SettingType.ADDRESS);
+    static final Setting<InetSocketAddress> PEER =
+            Setting.required("peer", "where other entry hosts connect", SettingType.ADDRESS);
+    static final Setting<InetSocketAddress> ADMIN =
+            Setting.required("admin", "where the balancer and operators connect", SettingType.ADDRESS);
+    static final Setting<URI> STORE = Setting.required("store", "the platform's store", SettingType.HTTP_URI);
+    static final Setting<List<InetSocketAddress>> SEEDS = Setting.optional(
+            "seeds", "", "peer addresses of other entry hosts, for a start without the store", SettingType.ADDRESSES);
+    static final Setting<String> SECRET =
+            Setting.required("secret", "what all entry hosts share; better given as a variable", SettingType.TEXT);
+    static final Setting<Integer> THREADS =
+            Setting.optional("threads", "2", "event-loop threads for callers and targets", SettingType.number(1, 64));
+    static final Setting<Integer> MAX_BODY_BYTES = Setting.optional(
+            "max-body-bytes", "1048576", "the largest request body, in bytes", SettingType.number(0, 64 << 20));
+
+    /** The program with all its settings. */
+    static final Program PROGRAM = new Program(
+            "dragonfly-entry",
+            "Takes requests from callers and brings each to the one target that owns its key.",
+            List.of(NAME, DOMAIN, LISTEN, PEER, ADMIN, STORE, SEEDS, SECRET, THREADS, MAX_BODY_BYTES));
+
+    private final HostLoop loop;
+    private final CallerServer callers;
+    private final StoreClient store;
+    private final ObservationLog log;
+    private final Executions executions;
+    private final CountDownLatch left = new CountDownLatch(1);
+    private volatile boolean exiting;
+    private PeerNetwork peers;
+    private TargetClient targets;
+
+    private Entry(HostLoop loop, CallerServer callers, StoreClient store, ObservationLog log, Executions executions) {
+        this.loop = loop;
+        this.callers = callers;
+        this.store = store;
+        this.log = log;
+        this.executions = executions;
+    }
+
+    private static String hostName(String text) {
+        if (text.length() > 50) {
+            throw new IllegalHostNameException(text);
+        }
+        return HostId.of(text).value();
+    }
+
+    /** Runs the program. */
+    public static void main(String[] arguments) throws Exception {
+        Either<Integer, Settings> settings = PROGRAM.start(arguments, System.getenv());
+        if (settings.isLeft()) {
+            System.exit(settings.getLeft());
+        }
+        run(settings.get());
+    }
+
+    private static void run(Settings settings) throws Exception {
+        SecureRandom random = new SecureRandom();
+        String incarnation = Integer.toString(random.nextInt(MAX_INCARNATION), RADIX);
+        HostRecord record = new HostRecord(
+                HostId.of(settings.value(NAME) + "." + incarnation),
+                settings.value(DOMAIN),
+                PeerNetwork.format(settings.value(PEER)),
+                random.nextInt(MAX_INCARNATION),
+                false);
+        List<String> seeds =
+                settings.value(SEEDS).stream().map(PeerNetwork::format).toList();
+        EntryHost host = EntryHost.start(record, seeds, new Random(random.nextLong()));
+        HostLoop loop = HostLoop.of(host, MonotonicClock.start());
+        EntryMetrics metrics = EntryMetrics.create();
+        CallerServer callers = CallerServer.of(loop, metrics);
+        Executions executions = Executions.withThreads(1);
+        Entry entry = new Entry(
+                loop,
+                callers,
+                StoreClient.of(settings.value(STORE), executions),
+                ObservationLog.countingIn(metrics),
+                executions);
+        entry.start(settings, metrics);
+        LOG.info("started {} in {}", record.host(), record.domain());
+    }
+
+    private void start(Settings settings, EntryMetrics metrics) throws Exception {
+        peers = PeerNetwork.listen(settings.value(PEER), settings.value(SECRET), new PeerEvents());
+        targets = TargetClient.of(Executions.withThreads(settings.value(THREADS)), loop::submit);
+        loop.start(this::carryOut);
+        callers.listen(settings.value(LISTEN), settings.value(THREADS), settings.value(MAX_BODY_BYTES));
+        RatpackServer admin = AdminServer.start(settings.value(ADMIN), loop, metrics);
+        LOG.debug("admin on port {}", admin.getBindPort());
+        Runtime.getRuntime().addShutdownHook(new Thread(this::leave, "shutdown"));
+    }
+
+    private void carryOut(Effect effect) {
+        switch (effect) {
+            case Effect.AnswerCaller answer -> callers.answer(answer);
+            case Effect.SendPeer send -> peers.send(send.address(), send.message());
+            case Effect.CallStore call ->
+                store.call(call.body(), reply -> loop.submit(new Event.StoreReplied(call.call(), reply)));
+            case Effect.CallTarget call -> targets.call(call);
+            case Effect.SendGrant grant -> targets.grant(grant);
+            case Effect.Note note -> log.observed(note.observation());
+            case Effect.Exit exit -> exit();
+        }
+    }
+
+    // A termination signal drains the host first; the process ends once nobody waits for it.
+    private void leave() {
+        if (exiting) {
+            return;
+        }
+        loop.submit(new Event.ShutdownRequested());
+        try {
+            left.await();
+            Thread.sleep(EXIT_DELAY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void exit() {
+        exiting = true;
+        left.countDown();
+        LOG.info("drained");
+        new Thread(this::end, "exit").start();
+    }
+
+    private void end() {
+        try {
+            Thread.sleep(EXIT_DELAY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        peers.close();
+        executions.close();
+        System.exit(0);
+    }
+
+    /** Hands what happens on peer links to the loop. */
+    private final class PeerEvents implements PeerListener {
+
+        @Override
+        public void arrived(String fromAddress, PeerMessage message) {
+            loop.submit(new Event.PeerArrived(fromAddress, message));
+        }
+
+        @Override
+        public void forwardFailed(long request, boolean mayHaveArrived) {
+            loop.submit(new Event.ForwardFailed(request, mayHaveArrived));
+        }
+
+        @Override
+        public void closed(String address, PeerProtocolError reason) {
+            LOG.info("link to {} closed: {}", address, reason);
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP interface. */
+package org.dragonflymux.entry.caller;
--- /dev/null
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/EntryMetrics.java
@@ -0,0 +1,87 @@
+package org.dragonflymux.entry.telemetry;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.dragonflymux.core.message.Outcome;
+import org.dragonflymux.core.name.ServiceName;
+
+/** The metrics of one entry host: latency and outcomes for each service and customer, bounded in number. */
+public final class EntryMetrics {
+
+    private static final int MAX_NAMES = 200;
+    private static final String OTHERS = "others";
+
+    private final MetricRegistry registry = new MetricRegistry();
+    private final CollectorRegistry collectors = new CollectorRegistry();
+    private final Set<String> names = ConcurrentHashMap.newKeySet();
+
+    private EntryMetrics() {
+        new DropwizardExports(registry).register(collectors);
+    }
+
+    /** Returns metrics that have counted nothing. */
+    public static EntryMetrics create() {
+        return new EntryMetrics();
+    }
+
+    /** Counts an answer to a caller. */
+    public void answered(ServiceName service, Optional<String> customer, Outcome outcome, Duration elapsed) {
+        registry.timer("latency.service." + bounded(service.value())).update(elapsed);
+        registry.counter("outcome.service." + bounded(service.value()) + "." + kind(outcome))
+                .inc();
+        customer.ifPresent(name -> {
+            registry.timer("latency.customer." + bounded(name)).update(elapsed);
+            registry.counter("outcome.customer." + bounded(name) + "." + kind(outcome))
+                    .inc();
+        });
+    }
+
+    // Service names come from callers' paths: past the bound they share one name.
+    private String bounded(String name) {
+        if (names.contains(name) || names.size() < MAX_NAMES && names.add(name)) {
+            return name;
+        }
+        return OTHERS;
+    }
+
+    private static String kind(Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Answered answered -> "ran";
+            case Outcome.AlreadyRan ran -> "ran_before";
+            case Outcome.Refused refused -> "not_run." + refused.reason().name().toLowerCase(Locale.ROOT);
+            case Outcome.Unknown unknown -> "unknown." + unknown.reason().name().toLowerCase(Locale.ROOT);
+        };
+    }
+
+    /** Counts something that happened. */
+    public void count(String name) {
+        registry.counter(name).inc();
+    }
+
+    /** Counts by more than one. */
+    public void count(String name, long amount) {
+        registry.counter(name).inc(amount);
+    }
+
+    /** Shows a figure that is read when it is asked for. */
+    public void gauge(String name, Gauge<Long> value) {
+        registry.gauge(name, () -> value);
+    }
+
+    /** Returns all metrics in Prometheus' text format. */
+    public String text() throws IOException {
+        StringWriter writer = new StringWriter();
+        TextFormat.write004(writer, collectors.metricFamilySamples());
+        return writer.toString();
+    }
+}
--- /dev/null
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics and structured logs. */
+package org.dragonflymux.entry.telemetry;
--- /dev/null
+++ b/dragonflymux-platform/src/main/java/org/dragonflymux/platform/http/Executions.java
@@ -0,0 +1,59 @@
+package org.dragonflymux.platform.http;
+
+import java.time.Duration;
+import ratpack.exec.ExecController;
+import ratpack.exec.internal.DefaultExecController;
+import ratpack.func.Action;
+import ratpack.http.client.HttpClient;
+
+/** The threads on which a program's Ratpack clients run. */
+public final class Executions implements AutoCloseable {
+
+    private final ExecController controller;
+
+    private Executions(ExecController controller) {
+        this.controller = controller;
+    }
+
+    /** Returns executions on a number of event-loop threads of their own. */
+    public static Executions withThreads(int threads) {
+        return new Executions(new DefaultExecController(threads));
+    }
+
+    /** Returns executions on the threads of a running server. */
+    public static Executions of(ExecController controller) {
+        return new Executions(controller);
+    }
+
+    /** Returns the controller of the threads. */
+    public ExecController controller() {
+        return controller;
+    }
+
+    /**
+     * Returns an HTTP client that runs on these threads.
+     *
+     * @param poolSize how many idle connections to keep for each address
+     * @param maxBytes the largest body that is taken, in bytes
+     */
+    public HttpClient client(int poolSize, int maxBytes, Duration connectTimeout) throws HttpSetupException {
+        try {
+            return HttpClient.of(spec -> spec.execController(controller)
+                    .poolSize(poolSize)
+                    .connectTimeout(connectTimeout)
+                    .maxContentLength(maxBytes));
+        } catch (Exception e) {
+            throw new HttpSetupException(e);
+        }
+    }
+
+    /** Runs an action as an execution of its own; its failure goes to the handler. */
+    public void start(Action<? super ratpack.exec.Execution> action, Action<? super Throwable> onError) {
+        controller.fork().onError(onError).start(action);
+    }
+
+    @Override
+    public void close() {
+        controller.close();
+    }
+}
--- /dev/null
+++ b/dragonflymux-platform/src/main/java/org/dragonflymux/platform/settings/Settings.java
@@ -0,0 +1,23 @@
+package org.dragonflymux.platform.settings;
+
+import java.util.Map;
+
+/** The checked values of a program's settings. */
+public final class Settings {
+
+    private final Map<Setting<?>, Object> values;
+
+    private Settings(Map<Setting<?>, Object> values) {
+        this.values = values;
+    }
+
+    static Settings of(Map<Setting<?>, Object> values) {
+        return new Settings(Map.copyOf(values));
+    }
+
+    /** Returns the value of a setting that the program declared. */
+    @SuppressWarnings("unchecked")
+    public <T> T value(Setting<T> setting) {
+        return (T) values.get(setting);
+    }
+}
--- /dev/null
+++ b/dragonflymux-platform/src/main/java/org/dragonflymux/platform/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings from flags and environment variables, checked together at start. */
+package org.dragonflymux.platform.settings;
--- /dev/null
+++ b/dragonflymux-platform/src/main/java/org/dragonflymux/platform/store/EtcdRequest.java
@@ -0,0 +1,11 @@
+package org.dragonflymux.platform.store;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * A call of the etcd v3 JSON gateway.
+ *
+ * @param path the path below the gateway's address
+ * @param body the JSON body
+ */
+public record EtcdRequest(String path, ObjectNode body) {}
--- /dev/null
+++ b/dragonflymux-platform/src/main/java/org/dragonflymux/platform/time/MonotonicClock.java
@@ -0,0 +1,38 @@
+package org.dragonflymux.platform.time;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+
+/** A clock that starts at the system's time and never goes back or jumps, whatever happens to the system's time. */
+public final class MonotonicClock extends Clock {
+
+    private final Instant startedAt;
+    private final long startedNanos;
+
+    private MonotonicClock(Instant startedAt, long startedNanos) {
+        this.startedAt = startedAt;
+        this.startedNanos = startedNanos;
+    }
+
+    /** Returns a clock that shows the system's time now. */
+    public static MonotonicClock start() {
+        return new MonotonicClock(Instant.now(), System.nanoTime());
+    }
+
+    @Override
+    public Instant instant() {
+        return startedAt.plusNanos(System.nanoTime() - startedNanos);
+    }
+
+    @Override
+    public ZoneId getZone() {
+        return ZoneOffset.UTC;
+    }
+
+    @Override
+    public Clock withZone(ZoneId zone) {
+        return this;
+    }
+}
--- /dev/null
+++ b/dragonflymux-standin/src/main/java/org/dragonflymux/standin/StandIn.java
@@ -0,0 +1,85 @@
+package org.dragonflymux.standin;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import org.dragonflymux.core.document.Fencing;
+import org.dragonflymux.platform.settings.Program;
+import org.dragonflymux.platform.settings.Setting;
+import org.dragonflymux.platform.settings.SettingType;
+import org.dragonflymux.platform.settings.Settings;
+import org.dragonflymux.platform.time.MonotonicClock;
+import org.dragonflymux.standin.store.StoreServer;
+import org.dragonflymux.standin.target.TargetServer;
+
+/** The program {@code dragonfly-standin}: a small store or target for tests and the quick start. */
+public final class StandIn {
+
+    private enum Role {
+        STORE,
+        TARGET
+    }
+
+    private static final Setting<Role> ROLE =
+            Setting.required("role", "what to stand in for", SettingType.of("store or target", StandIn::role));
+    private static final Setting<InetSocketAddress> LISTEN =
+            Setting.required("listen", "where to listen", SettingType.ADDRESS);
+    private static final Setting<String> NAME =
+            Setting.optional("name", "target", "the target's name in its answers", SettingType.TEXT);
+    private static final Setting<Fencing> FENCING = Setting.optional(
+            "fencing",
+            "checked",
+            "what the target checks",
+            SettingType.of("checked, deadline or none", StandIn::fencing));
+    private static final Setting<Integer> SLOTS =
+            Setting.optional("slots", "3", "requests the target runs at once", SettingType.number(1, 1024));
+    private static final Setting<Integer> SERVICE_MICROS = Setting.optional(
+            "service-micros", "2000", "time of a request, in microseconds", SettingType.number(0, 60_000_000));
+    private static final Setting<Integer> COLD_REQUESTS = Setting.optional(
+            "cold-requests",
+            "20",
+            "requests after a start that take five times as long",
+            SettingType.number(0, 100_000));
+
+    private static final Program PROGRAM = new Program(
+            "dragonfly-standin",
+            "Stands in for the platform's store or for a target, with faults that can be switched on.",
+            List.of(ROLE, LISTEN, NAME, FENCING, SLOTS, SERVICE_MICROS, COLD_REQUESTS));
+
+    private StandIn() {}
+
+    private static Role role(String text) {
+        return Role.valueOf(text.toUpperCase(java.util.Locale.ROOT));
+    }
+
+    private static Fencing fencing(String text) {
+        return Fencing.valueOf(text.toUpperCase(java.util.Locale.ROOT));
+    }
+
+    /** Runs the program. */
+    public static void main(String[] arguments) throws Exception {
+        Either<Integer, Settings> settings = PROGRAM.start(arguments, System.getenv());
+        if (settings.isLeft()) {
+            System.exit(settings.getLeft());
+        }
+        run(settings.get(), MonotonicClock.start());
+    }
+
+    private static void run(Settings settings, Clock clock) throws Exception {
+        switch (settings.value(ROLE)) {
+            case STORE -> StoreServer.start(settings.value(LISTEN), clock);
+            case TARGET -> TargetServer.start(settings.value(LISTEN), behaviour(settings), clock);
+        }
+    }
+
+    private static TargetServer.Behaviour behaviour(Settings settings) {
+        return new TargetServer.Behaviour(
+                settings.value(NAME),
+                settings.value(FENCING),
+                settings.value(SLOTS),
+                Duration.ofNanos(settings.value(SERVICE_MICROS) * 1000L),
+                settings.value(COLD_REQUESTS));
+    }
+}
--- /dev/null
+++ b/dragonflymux-standin/src/main/java/org/dragonflymux/standin/package-info.java
@@ -0,0 +1,2 @@
+/** The program dragonfly-standin. */
+package org.dragonflymux.standin;
