--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
@@ -344,9 +344,9 @@
                 holder.grants().hurry(now);
                 refuse(request, RefusalReason.UNREACHABLE, now);
             }
-            case TargetResult.Broken broken -> broken(holder, request, now);
-            case TargetResult.TimedOut timedOut -> timedOut(holder, request, now);
-            case TargetResult.TooLarge tooLarge -> {
+            case TargetResult.Broken _ -> broken(holder, request, now);
+            case TargetResult.TimedOut _ -> timedOut(holder, request, now);
+            case TargetResult.TooLarge _ -> {
                 holder.grants().alive(now);
                 settle(request, new Outcome.Unknown(UnknownReason.ANSWER_INCOMPLETE), now);
             }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/grant/GrantKeeper.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/grant/GrantKeeper.java
@@ -114,11 +114,11 @@
         boolean newest = sent != null && sent.number() == number;
         switch (reply) {
             case GrantReply.Held held -> held(held, newest, now);
-            case GrantReply.Refused refused -> {
+            case GrantReply.Refused _ -> {
                 refusalsInRow++;
                 silencesInRow = 0;
             }
-            case GrantReply.Silent silent -> silencesInRow++;
+            case GrantReply.Silent _ -> silencesInRow++;
         }
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/host/EntryHost.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/host/EntryHost.java
@@ -102,7 +102,7 @@
     /** Takes in an event and returns what is to be done. */
     public List<Effect> on(Event event, Instant now) {
         switch (event) {
-            case Event.Tick tick -> tick(now);
+            case Event.Tick _ -> tick(now);
             case Event.CallerArrived arrived -> ingress.arrived(arrived.request(), arrived.body(), now);
             case Event.PeerArrived arrived -> peer(arrived.fromAddress(), arrived.message(), now);
             case Event.ForwardFailed failed -> ingress.forwardFailed(failed.request(), failed.mayHaveArrived(), now);
@@ -110,7 +110,7 @@
             case Event.AttemptEnded ended -> dispatch.attemptEnded(ended.attempt(), ended.result(), now);
             case Event.GrantReplied replied ->
                 dispatch.grantReplied(replied.service(), replied.target(), replied.grant(), replied.reply(), now);
-            case Event.ShutdownRequested requested -> leave(now);
+            case Event.ShutdownRequested _ -> leave(now);
         }
         followChanges(now);
         return outbox.drain();
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/AdminServer.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/AdminServer.java
@@ -20,16 +20,14 @@
     private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
     private final HostLoop loop;
-    private final EntryMetrics metrics;
     private final ObjectMapper mapper = new ObjectMapper();
 
-    private AdminServer(HostLoop loop, EntryMetrics metrics) {
+    private AdminServer(HostLoop loop) {
         this.loop = loop;
-        this.metrics = metrics;
     }
 
     static RatpackServer start(InetSocketAddress address, HostLoop loop, EntryMetrics metrics) throws Exception {
-        AdminServer admin = new AdminServer(loop, metrics);
+        AdminServer admin = new AdminServer(loop);
         return RatpackServer.start(server -> server.serverConfig(config -> config.address(address.getAddress())
                         .port(address.getPort())
                         .threads(1)
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/Entry.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/Entry.java
@@ -147,7 +147,7 @@
             case Effect.CallTarget call -> targets.call(call);
             case Effect.SendGrant grant -> targets.grant(grant);
             case Effect.Note note -> log.observed(note.observation());
-            case Effect.Exit exit -> exit();
+            case Effect.Exit _ -> exit();
         }
     }
 
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/EntryMetrics.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/EntryMetrics.java
@@ -56,8 +56,8 @@
 
     private static String kind(Outcome outcome) {
         return switch (outcome) {
-            case Outcome.Answered answered -> "ran";
-            case Outcome.AlreadyRan ran -> "ran_before";
+            case Outcome.Answered _ -> "ran";
+            case Outcome.AlreadyRan _ -> "ran_before";
             case Outcome.Refused refused -> "not_run." + refused.reason().name().toLowerCase(Locale.ROOT);
             case Outcome.Unknown unknown -> "unknown." + unknown.reason().name().toLowerCase(Locale.ROOT);
         };
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/PeerCodec.java
+++ b/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/PeerCodec.java
@@ -54,7 +54,7 @@
         @Override
         public JsonFormat.Value findFormat(Annotated annotated) {
             Class<?> type = annotated.getRawType();
-            boolean name = type.getPackage() == HostId.class.getPackage();
+            boolean name = type.getPackageName().equals(HostId.class.getPackageName());
             return type.isRecord() && !name
                     ? JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY)
                     : super.findFormat(annotated);
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/PeerLink.java
+++ b/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/PeerLink.java
@@ -141,10 +141,10 @@
     }
 
     private void open(ChannelHandlerContext context) {
-        // Only now may frames be large.
-        context.pipeline().replace(LengthFieldBasedFrameDecoder.class, "messages", frames(MAX_FRAME_BYTES));
         stage = Stage.OPEN;
         owner.open(this);
+        // Only now may frames be large. Replacing the decoder hands on at once what it had read ahead.
+        context.pipeline().replace(LengthFieldBasedFrameDecoder.class, "messages", frames(MAX_FRAME_BYTES));
     }
 
     private static LengthFieldBasedFrameDecoder frames(int maxBytes) {
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/store/EtcdCodec.java
+++ b/dragonflymux-platform/src/main/java/org/dragonflymux/platform/store/EtcdCodec.java
@@ -72,7 +72,7 @@
                         body -> put(body, put.record().key(), DocumentCodec.toJson(put.record()))
                                 .put("lease", Long.toString(put.lease())));
             case StoreCall.Poll poll -> poll(poll.sinceRevision());
-            case StoreCall.ListSessions list ->
+            case StoreCall.ListSessions _ ->
                 request(RANGE, body -> prefix(body, DocumentKey.SESSION_PREFIX).put("keys_only", true));
             case StoreCall.WriteTable write -> writeTable(write);
         };
@@ -139,15 +139,15 @@
     /** Reads the gateway's answer to a call. */
     public static StoreReply decode(StoreCall call, JsonNode answer) {
         return switch (call) {
-            case StoreCall.GrantLease grant ->
+            case StoreCall.GrantLease _ ->
                 new StoreReply.LeaseGranted(answer.path("ID").asLong());
-            case StoreCall.RenewLease renew ->
+            case StoreCall.RenewLease _ ->
                 new StoreReply.LeaseRenewed(answer.path("result").path("TTL").asLong() > 0);
-            case StoreCall.RevokeLease revoke -> new StoreReply.LeaseRevoked();
-            case StoreCall.PutSession put -> new StoreReply.Written(revision(answer));
-            case StoreCall.Poll poll -> polled(answer);
-            case StoreCall.ListSessions list -> sessions(answer);
-            case StoreCall.WriteTable write -> swapped(answer);
+            case StoreCall.RevokeLease _ -> new StoreReply.LeaseRevoked();
+            case StoreCall.PutSession _ -> new StoreReply.Written(revision(answer));
+            case StoreCall.Poll _ -> polled(answer);
+            case StoreCall.ListSessions _ -> sessions(answer);
+            case StoreCall.WriteTable _ -> swapped(answer);
         };
     }
 
--- /dev/null
+++ b/dragonflymux-platform/src/test/java/org/dragonflymux/platform/peer/PeerNetworkTest.java
@@ -0,0 +1,130 @@
+package org.dragonflymux.platform.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.dragonflymux.core.message.PeerMessage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PeerNetworkTest {
+
+    private static final int WAIT_SECONDS = 20;
+
+    private final List<PeerNetwork> networks = new ArrayList<>();
+    private final Recorder first = new Recorder();
+    private final Recorder second = new Recorder();
+    private InetSocketAddress firstAddress;
+    private InetSocketAddress secondAddress;
+
+    /** Keeps what a network reports. */
+    private static final class Recorder implements PeerListener {
+
+        private final BlockingQueue<PeerMessage> messages = new LinkedBlockingQueue<>();
+        private final BlockingQueue<PeerProtocolError> closings = new LinkedBlockingQueue<>();
+        private final BlockingQueue<Boolean> failedForwards = new LinkedBlockingQueue<>();
+
+        @Override
+        public void arrived(String fromAddress, PeerMessage message) {
+            messages.add(message);
+        }
+
+        @Override
+        public void forwardFailed(long request, boolean mayHaveArrived) {
+            failedForwards.add(mayHaveArrived);
+        }
+
+        @Override
+        public void closed(String address, PeerProtocolError reason) {
+            closings.add(reason);
+        }
+    }
+
+    @BeforeEach
+    void chooseAddresses() throws IOException {
+        firstAddress = freeAddress();
+        secondAddress = freeAddress();
+    }
+
+    @AfterEach
+    void close() {
+        networks.forEach(PeerNetwork::close);
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    private PeerNetwork listen(InetSocketAddress address, String secret, Recorder recorder)
+            throws InterruptedException {
+        PeerNetwork network = PeerNetwork.listen(address, secret, recorder);
+        networks.add(network);
+        return network;
+    }
+
+    @Test
+    void carriesManyMessagesBothWaysFromTheFirstMomentOn() throws InterruptedException {
+        PeerNetwork one = listen(firstAddress, "s", first);
+        PeerNetwork other = listen(secondAddress, "s", second);
+        for (int i = 0; i < 500; i++) {
+            one.send(PeerNetwork.format(secondAddress), new PeerMessage.Ask(i, i));
+            other.send(PeerNetwork.format(firstAddress), new PeerMessage.Ask(i, i));
+        }
+        for (int i = 0; i < 500; i++) {
+            assertThat(second.messages.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isNotNull();
+            assertThat(first.messages.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isNotNull();
+        }
+        assertThat(first.closings).isEmpty();
+        assertThat(second.closings).isEmpty();
+    }
+
+    @Nested
+    class Refuses {
+
+        @Test
+        void aHostWithAnotherSecret() throws InterruptedException {
+            PeerNetwork one = listen(firstAddress, "s", first);
+            listen(secondAddress, "other", second);
+            one.send(PeerNetwork.format(secondAddress), new PeerMessage.Ask(1, 1));
+            assertThat(first.closings.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(PeerProtocolError.SECRET);
+            assertThat(second.messages).isEmpty();
+        }
+
+        @Test
+        void garbageWithoutHarmToOtherLinks() throws Exception {
+            PeerNetwork one = listen(firstAddress, "s", first);
+            listen(secondAddress, "s", second);
+            Random random = new Random(11);
+            for (int i = 0; i < 20; i++) {
+                byte[] garbage = new byte[1 + random.nextInt(300)];
+                random.nextBytes(garbage);
+                try (Socket socket = new Socket(secondAddress.getAddress(), secondAddress.getPort())) {
+                    socket.getOutputStream().write(garbage);
+                }
+            }
+            one.send(PeerNetwork.format(secondAddress), new PeerMessage.Ask(1, 1));
+            assertThat(second.messages.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(new PeerMessage.Ask(1, 1));
+        }
+    }
+
+    @Test
+    void tellsThatAForwardWasNotDeliveredWhenNobodyListens() throws InterruptedException {
+        PeerNetwork one = listen(firstAddress, "s", first);
+        one.send(PeerNetwork.format(secondAddress), new PeerMessage.Forward(1, null, 10));
+        assertThat(first.failedForwards.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isFalse();
+    }
+}
--- /dev/null
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/ScenariosTest.java
@@ -0,0 +1,14 @@
+package org.dragonflymux.scenarios;
+
+import org.junit.platform.suite.api.ConfigurationParameter;
+import org.junit.platform.suite.api.IncludeEngines;
+import org.junit.platform.suite.api.SelectClasspathResource;
+import org.junit.platform.suite.api.Suite;
+
+/** Runs the scripted scenarios. */
+@Suite
+@IncludeEngines("cucumber")
+@SelectClasspathResource("features")
+@ConfigurationParameter(key = "cucumber.glue", value = "org.dragonflymux.scenarios")
+@ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
+class ScenariosTest {}
--- /dev/null
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/World.java
@@ -0,0 +1,89 @@
+package org.dragonflymux.scenarios;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.dragonflymux.core.document.Fencing;
+import org.dragonflymux.core.document.ServiceDocument;
+import org.dragonflymux.core.document.TargetDeclaration;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.scenarios.bench.CallerLoad;
+import org.dragonflymux.scenarios.bench.Fleet;
+
+/** What the steps of one scenario share. */
+public final class World {
+
+    static final int REQUESTS_PER_SECOND = 200;
+    static final int KEYS = 50;
+    private static final int DEADLINE_MILLIS = 5000;
+    private static final int PARTITIONS = 32;
+
+    Fleet fleet;
+    CallerLoad load;
+    Instant mark;
+    ServiceDocument document;
+    Fleet.Call lastCall;
+    final List<Fleet.Call> calls = new ArrayList<>();
+
+    private int trustMillis = 10_000;
+    private int continuityMillis = 60_000;
+    private FailureDomain home;
+
+    void trust(Duration duration) {
+        trustMillis = (int) duration.toMillis();
+    }
+
+    void continuity(Duration duration) {
+        continuityMillis = (int) duration.toMillis();
+    }
+
+    void home(String domain) {
+        home = FailureDomain.of(domain);
+    }
+
+    /** Starts failure domains named a, b, c…, with hosts a1, a2… and targets ta1, ta2…. */
+    void start(long seed, int domains, int hostsEach, int targetsEach, Fencing fencing) {
+        fleet = Fleet.seeded(seed);
+        List<TargetDeclaration> declarations = new ArrayList<>();
+        for (int d = 0; d < domains; d++) {
+            String domain = String.valueOf((char) ('a' + d));
+            if (home == null || home.value().equals(domain)) {
+                declare(declarations, domain, targetsEach, fencing);
+            }
+        }
+        document = new ServiceDocument(
+                ServiceName.of("svc"),
+                PARTITIONS,
+                fencing,
+                home,
+                DEADLINE_MILLIS,
+                trustMillis,
+                continuityMillis,
+                1 << 20,
+                Set.of("GET"),
+                declarations);
+        fleet.apply(document);
+        fleet.customer("acme", 1000, 500, 1);
+        for (int d = 0; d < domains; d++) {
+            for (int h = 1; h <= hostsEach; h++) {
+                String domain = String.valueOf((char) ('a' + d));
+                fleet.startHost(domain + h, domain);
+            }
+        }
+        fleet.advance(Duration.ofSeconds(5));
+        load = CallerLoad.of(fleet, "acme", KEYS, fleet.hostNames());
+        mark = fleet.now();
+    }
+
+    private void declare(List<TargetDeclaration> declarations, String domain, int count, Fencing fencing) {
+        for (int t = 1; t <= count; t++) {
+            String name = "t" + domain + t;
+            String address = fleet.startTarget(name, domain, fencing, 3);
+            declarations.add(new TargetDeclaration(TargetId.of(name), FailureDomain.of(domain), address, 3));
+        }
+    }
+}
