--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/admission/AdmissionDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/admission/AdmissionDuty.java
@@ -4,11 +4,12 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.dragonflymux.core.assignment.LaneReport;
-import org.dragonflymux.core.assignment.Routes;
 import org.dragonflymux.core.assignment.TargetHealth;
 import org.dragonflymux.core.configuration.ConfigurationReplica;
 import org.dragonflymux.core.dispatch.RouteCache;
@@ -23,11 +24,16 @@
 import org.dragonflymux.core.message.PeerMessage;
 import org.dragonflymux.core.message.RefusalReason;
 import org.dragonflymux.core.name.CustomerName;
-import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.session.DutyAuthority;
 
-/** Holds the buckets that this host is given, and borrows tokens for the requests that it receives. */
+/**
+ * Holds the buckets that this host is given, and borrows tokens for the requests that it receives.
+ *
+ * <p>A request first asks for the customer's reserve in the host's own failure domain, if there is one, and then the
+ * fleet's pool.
+ */
 public final class AdmissionDuty {
 
     /** Tells what became of a request that waited for a token. */
@@ -40,26 +46,35 @@
         void refused(long request, RefusalReason reason, Duration retryAfter, Instant now);
     }
 
+    private static final Duration FLEET_PATIENCE = Duration.ofMillis(250);
+    private static final Duration RESERVE_PATIENCE = Duration.ZERO;
+    private static final Duration RESERVE_UNREACHABLE = Duration.ofMillis(200);
+    private static final int MAX_OPEN_LOANS = 100_000;
+
     private record HeldLane(long fence, Instant since) {}
 
+    private record LaneKey(ServiceName pool, TargetId lane) {}
+
+    private record BucketKey(ServiceName pool, CustomerName customer) {}
+
     private record HeldBucket(long fence, CustomerBucket bucket) {}
 
-    private static final int MAX_OPEN_LOANS = 100_000;
+    private record BorrowerKey(AdmissionPool pool, CustomerName customer) {}
 
-    private final HostId self;
+    private final HostRecord self;
     private final ConfigurationReplica replica;
     private final RouteCache routes;
     private final DutyAuthority authority;
     private final Numbers numbers;
     private final Outbox outbox;
     private final Listener listener;
-    private final Map<CustomerName, HeldBucket> buckets = new HashMap<>();
-    private final Map<TargetId, HeldLane> lanes = new HashMap<>();
-    private final Map<CustomerName, TokenBorrower> borrowers = new HashMap<>();
-    private final Map<Long, CustomerName> loans = new HashMap<>();
+    private final Map<BucketKey, HeldBucket> buckets = new HashMap<>();
+    private final Map<LaneKey, HeldLane> lanes = new HashMap<>();
+    private final Map<BorrowerKey, TokenBorrower> borrowers = new HashMap<>();
+    private final Map<Long, BorrowerKey> loans = new HashMap<>();
 
     private AdmissionDuty(
-            HostId self,
+            HostRecord self,
             ConfigurationReplica replica,
             RouteCache routes,
             DutyAuthority authority,
@@ -77,7 +92,7 @@
 
     /** Returns the duty of a host that holds no bucket. */
     public static AdmissionDuty of(
-            HostId self,
+            HostRecord self,
             ConfigurationReplica replica,
             RouteCache routes,
             DutyAuthority authority,
@@ -87,49 +102,68 @@
         return new AdmissionDuty(self, replica, routes, authority, numbers, outbox, listener);
     }
 
-    /** Follows a changed table: remembers since when each lane is held. */
-    public void follow(Instant now) {
-        routes.routes(AdmissionService.NAME).ifPresent(table -> {
+    /** Follows a pool's changed table: remembers since when each lane is held. */
+    public void follow(ServiceName pool, Instant now) {
+        routes.routes(pool).ifPresent(table -> {
             for (Lane lane : table.table().lanes()) {
-                HeldLane known = lanes.get(lane.target());
-                boolean mine = self.equals(lane.dispatcher()) && lane.state() == LaneState.OPEN;
+                LaneKey key = new LaneKey(pool, lane.target());
+                HeldLane known = lanes.get(key);
+                boolean mine = self.host().equals(lane.dispatcher()) && lane.state() == LaneState.OPEN;
                 if (!mine) {
-                    lanes.remove(lane.target());
+                    lanes.remove(key);
                 } else if (known == null || known.fence() != lane.fence()) {
-                    lanes.put(lane.target(), new HeldLane(lane.fence(), now));
+                    lanes.put(key, new HeldLane(lane.fence(), now));
                 }
             }
         });
     }
 
+    /** Returns the names of the pools of which this host holds lanes. */
+    public Set<ServiceName> pools() {
+        Set<ServiceName> pools = new HashSet<>();
+        lanes.keySet().forEach(key -> pools.add(key.pool()));
+        return pools;
+    }
+
     /** Takes in a request that needs a token. */
     public void arrive(long request, CustomerDocument customer, Instant now) {
-        TokenBorrower borrower = borrowers.computeIfAbsent(customer.name(), name -> TokenBorrower.empty());
+        AdmissionPool own = new AdmissionPool(self.domain());
+        arrive(request, customer, own.limit(customer).isPresent() ? own : AdmissionPool.FLEET, now);
+    }
+
+    private void arrive(long request, CustomerDocument customer, AdmissionPool pool, Instant now) {
+        BorrowerKey key = new BorrowerKey(pool, customer.name());
+        Duration patience = pool.equals(AdmissionPool.FLEET) ? FLEET_PATIENCE : RESERVE_PATIENCE;
+        TokenBorrower borrower = borrowers.computeIfAbsent(key, _ -> TokenBorrower.withPatience(patience));
         if (borrower.arrive(request, now)) {
             listener.admitted(request, now);
         } else {
-            ask(customer, borrower, now);
+            ask(key, customer, borrower, now);
         }
     }
 
     /** Forgets a request that no longer waits for a token. */
     public void abandon(long request, CustomerName customer) {
-        Optional.ofNullable(borrowers.get(customer)).ifPresent(borrower -> borrower.abandon(request));
+        for (AdmissionPool pool : List.of(AdmissionPool.FLEET, new AdmissionPool(self.domain()))) {
+            Optional.ofNullable(borrowers.get(new BorrowerKey(pool, customer)))
+                    .ifPresent(borrower -> borrower.abandon(request));
+        }
     }
 
-    private void ask(CustomerDocument customer, TokenBorrower borrower, Instant now) {
-        RateLimit limit = RateLimit.of(customer);
-        long loan = numbers.next();
-        Optional<Lane> lane = routes.routes(AdmissionService.NAME)
-                .flatMap(table -> table.lane(AdmissionService.lane(customer.name())));
-        Optional<HostRecord> holder = lane.flatMap(found -> replica.host(found.dispatcher()));
-        if (holder.isEmpty()) {
+    private void ask(BorrowerKey key, CustomerDocument customer, TokenBorrower borrower, Instant now) {
+        Optional<RateLimit> limit = key.pool().limit(customer);
+        Optional<HostRecord> holder = routes.routes(key.pool().name())
+                .flatMap(table -> table.lane(key.pool().lane(customer.name())))
+                .flatMap(lane -> replica.host(lane.dispatcher()));
+        if (holder.isEmpty() || limit.isEmpty()) {
             return;
         }
-        borrower.due(loan, limit, now).ifPresent(question -> {
-            loans.put(loan, customer.name());
-            PeerMessage.Borrow borrow = new PeerMessage.Borrow(loan, customer.name(), question.tokens());
-            if (self.equals(holder.get().host())) {
+        long loan = numbers.next();
+        borrower.due(loan, limit.get(), now).ifPresent(question -> {
+            loans.put(loan, key);
+            PeerMessage.Borrow borrow =
+                    new PeerMessage.Borrow(loan, key.pool().name(), customer.name(), question.tokens());
+            if (self.host().equals(holder.get().host())) {
                 lent(lend(borrow, now), now);
             } else {
                 outbox.send(holder.get().peerAddress(), borrow);
@@ -139,76 +173,99 @@
 
     /** Lends tokens, if this host holds the customer's bucket now. */
     public PeerMessage.Lend lend(PeerMessage.Borrow borrow, Instant now) {
-        Optional<CustomerDocument> customer =
-                replica.find(DocumentKey.customer(borrow.customer()), CustomerDocument.class);
-        HeldLane lane = lanes.get(AdmissionService.lane(borrow.customer()));
-        Instant until = authority.until(
-                AdmissionService.NAME, AdmissionService.service().continuity());
-        if (customer.isEmpty() || lane == null || !now.isBefore(until)) {
+        Optional<CustomerDocument> customer = customer(borrow.customer());
+        Optional<AdmissionPool> pool = customer.flatMap(found -> AdmissionPool.all(List.of(found)).stream()
+                .filter(each -> each.name().equals(borrow.pool()))
+                .findFirst());
+        Optional<RateLimit> limit = pool.flatMap(found -> found.limit(customer.get()));
+        HeldLane lane = pool.map(found -> lanes.get(new LaneKey(borrow.pool(), found.lane(borrow.customer()))))
+                .orElse(null);
+        boolean authorized = now.isBefore(authority.until(borrow.pool()));
+        if (limit.isEmpty() || lane == null || !authorized) {
             return new PeerMessage.Lend(borrow.loan(), 0, -1);
         }
-        RateLimit limit = RateLimit.of(customer.get());
         HeldBucket held = buckets.compute(
-                borrow.customer(),
-                (name, known) -> known != null && known.fence() == lane.fence()
+                new BucketKey(borrow.pool(), borrow.customer()),
+                (_, known) -> known != null && known.fence() == lane.fence()
                         ? known
                         : new HeldBucket(lane.fence(), CustomerBucket.emptyAt(lane.since())));
-        int lent = held.bucket().lend(borrow.tokens(), limit, now);
+        int lent = held.bucket().lend(borrow.tokens(), limit.get(), now);
         outbox.note(new Observation.TokensLent(borrow.tokens(), lent));
-        return new PeerMessage.Lend(
-                borrow.loan(), lent, held.bucket().nextToken(limit).toMillis());
+        long nextMillis = held.bucket().nextToken(limit.get()).toMillis();
+        return new PeerMessage.Lend(borrow.loan(), lent, nextMillis);
+    }
+
+    private Optional<CustomerDocument> customer(CustomerName name) {
+        return replica.find(DocumentKey.customer(name), CustomerDocument.class);
     }
 
     /** Takes in lent tokens. */
     public void lent(PeerMessage.Lend lend, Instant now) {
-        CustomerName name = loans.remove(lend.loan());
-        Optional<CustomerDocument> customer =
-                name == null ? Optional.empty() : replica.find(DocumentKey.customer(name), CustomerDocument.class);
-        if (customer.isEmpty()) {
+        BorrowerKey key = loans.remove(lend.loan());
+        Optional<CustomerDocument> customer = key == null ? Optional.empty() : customer(key.customer());
+        Optional<RateLimit> limit = customer.flatMap(found -> key.pool().limit(found));
+        if (limit.isEmpty()) {
             return;
         }
-        TokenBorrower borrower = borrowers.get(name);
+        TokenBorrower borrower = borrowers.get(key);
         if (lend.retryAfterMillis() < 0) {
-            borrower.notHolder(lend.loan());
+            borrower.notHolder(lend.loan(), now);
             return;
         }
-        RateLimit limit = RateLimit.of(customer.get());
-        Duration retryAfter = Duration.ofMillis(lend.retryAfterMillis());
-        TokenBorrower.Decision decision = borrower.lent(lend.loan(), lend.tokens(), retryAfter, limit, now);
+        Duration nextToken = Duration.ofMillis(lend.retryAfterMillis());
+        TokenBorrower.Decision decision = borrower.lent(lend.loan(), lend.tokens(), nextToken, limit.get(), now);
         decision.admitted().forEach(request -> listener.admitted(request, now));
-        decision.refused()
-                .forEach(request -> listener.refused(request, RefusalReason.RATE_EXCEEDED, decision.retryAfter(), now));
-        ask(customer.get(), borrower, now);
+        decision.refused().forEach(request -> denied(request, key, customer.get(), nextToken, now));
+        ask(key, customer.get(), borrower, now);
+    }
+
+    private void denied(long request, BorrowerKey key, CustomerDocument customer, Duration nextToken, Instant now) {
+        if (key.pool().equals(AdmissionPool.FLEET)) {
+            listener.refused(request, RefusalReason.RATE_EXCEEDED, nextToken, now);
+        } else {
+            arrive(request, customer, AdmissionPool.FLEET, now);
+        }
     }
 
     /** Asks again where an answer is overdue. */
     public void tick(Instant now) {
-        borrowers.forEach((name, borrower) -> replica.find(DocumentKey.customer(name), CustomerDocument.class)
-                .ifPresent(customer -> ask(customer, borrower, now)));
+        for (BorrowerKey key : List.copyOf(borrowers.keySet())) {
+            customer(key.customer()).ifPresent(customer -> tick(key, customer, now));
+        }
         if (loans.size() > MAX_OPEN_LOANS) {
             loans.clear();
         }
     }
 
+    private void tick(BorrowerKey key, CustomerDocument customer, Instant now) {
+        TokenBorrower borrower = borrowers.get(key);
+        if (!key.pool().equals(AdmissionPool.FLEET)) {
+            borrower.overdue(RESERVE_UNREACHABLE, now)
+                    .forEach(request -> denied(request, key, customer, Duration.ZERO, now));
+        }
+        ask(key, customer, borrower, now);
+    }
+
     /**
-     * Returns the reports on the lanes that the table gives to this host.
+     * Returns the reports on the lanes that tables give to this host.
      *
      * @param all whether reports on lanes that are simply held are wanted too
      */
     public List<LaneReport> reports(boolean all) {
         List<LaneReport> reports = new ArrayList<>();
-        Optional<Routes> table = routes.routes(AdmissionService.NAME);
-        table.map(found -> found.table().lanes()).orElse(List.of()).stream()
-                .filter(lane -> self.equals(lane.dispatcher()))
-                .filter(lane -> all || lane.state() != LaneState.OPEN)
-                .forEach(lane -> reports.add(new LaneReport(
-                        AdmissionService.NAME,
-                        lane.target(),
-                        lane.fence(),
-                        TargetHealth.READY,
-                        lane.state() == LaneState.CLOSING,
-                        List.of(),
-                        List.of())));
+        for (AdmissionPool pool : AdmissionPool.all(replica.all(CustomerDocument.class))) {
+            routes.routes(pool.name())
+                    .ifPresent(table -> table.table().lanes().stream()
+                            .filter(lane -> self.host().equals(lane.dispatcher()))
+                            .filter(lane -> all || lane.state() != LaneState.OPEN)
+                            .forEach(lane -> reports.add(report(pool, lane))));
+        }
         return reports;
     }
+
+    private static LaneReport report(AdmissionPool pool, Lane lane) {
+        boolean closed = lane.state() == LaneState.CLOSING;
+        return new LaneReport(
+                pool.name(), lane.target(), lane.fence(), TargetHealth.READY, closed, List.of(), List.of());
+    }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/admission/RateLimit.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/admission/RateLimit.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.dragonflymux.core.document.CustomerDocument;
+import org.dragonflymux.core.document.RateReserve;
 
 /**
  * A customer's rate and burst, and what follows from them for lending tokens.
@@ -17,9 +18,20 @@
     /** The shortest time for which lent tokens may be used. */
     public static final Duration MIN_LOAN = Duration.ofMillis(20);
 
-    /** Returns the limit of a customer. */
-    public static RateLimit of(CustomerDocument customer) {
-        return new RateLimit(customer.ratePerSecond(), customer.burst());
+    /** Returns the limit of a reserve. */
+    public static RateLimit of(RateReserve reserve) {
+        return new RateLimit(reserve.ratePerSecond(), reserve.burst());
+    }
+
+    /** Returns what a customer's limit leaves beside its reserves. */
+    public static RateLimit unreserved(CustomerDocument customer) {
+        double rate = customer.ratePerSecond();
+        int burst = customer.burst();
+        for (RateReserve reserve : customer.reserves().values()) {
+            rate -= reserve.ratePerSecond();
+            burst -= reserve.burst();
+        }
+        return new RateLimit(rate, burst);
     }
 
     /** Returns the least burst that leaves room for one token on loan. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentDuty.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -19,6 +20,7 @@
 import org.dragonflymux.core.document.ReleaseOrder;
 import org.dragonflymux.core.document.ServiceDocument;
 import org.dragonflymux.core.document.TargetIntent;
+import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
@@ -100,29 +102,41 @@
         }
         Optional<AssignmentTable> table = replica.find(DocumentKey.assignment(service.name()), AssignmentTable.class);
         if (table.isEmpty()) {
-            boolean first = !leaving && self.equals(firstStaying(live));
+            boolean first = !leaving && self.equals(firstStaying(live, service.home()));
             return first ? Optional.of(TablePlanner.create(input(service, live))) : Optional.empty();
         }
-        if (!mayWrite(table.get(), service, live, now)) {
+        if (!mayWrite(table.get(), live, service.home(), now)) {
             return Optional.empty();
         }
         AssignmentTable next = TablePlanner.next(input(service, live), table.get());
-        if (next.equals(table.get()) && leaving && live.containsKey(next.standby())) {
+        boolean handOver = leaving || isAway(service, live, next);
+        if (next.equals(table.get()) && handOver && live.containsKey(next.standby())) {
             next = TablePlanner.handOver(next);
         }
         return next.equals(table.get()) ? Optional.empty() : Optional.of(next);
     }
 
-    private static HostId firstStaying(SortedMap<HostId, HostRecord> live) {
+    /** Tells whether a service's home has a standby while this host is assigner from outside. */
+    private boolean isAway(ServiceDocument service, SortedMap<HostId, HostRecord> live, AssignmentTable table) {
+        HostRecord standby = table.standby() == null ? null : live.get(table.standby());
+        return service.home() != null
+                && standby != null
+                && standby.domain().equals(service.home())
+                && !live.get(self).domain().equals(service.home());
+    }
+
+    /** Returns the first live host that does not shut down, out of the home while the home has one. */
+    private static HostId firstStaying(SortedMap<HostId, HostRecord> live, FailureDomain home) {
         return live.values().stream()
                 .filter(host -> !host.leaving())
+                .min(Comparator.comparing((HostRecord host) -> host.domain().equals(home) ? 0 : 1)
+                        .thenComparing(HostRecord::host))
                 .map(HostRecord::host)
-                .findFirst()
                 .orElse(null);
     }
 
     private boolean mayWrite(
-            AssignmentTable table, ServiceDocument service, SortedMap<HostId, HostRecord> live, Instant now) {
+            AssignmentTable table, SortedMap<HostId, HostRecord> live, FailureDomain home, Instant now) {
         if (self.equals(table.assigner())) {
             return true;
         }
@@ -133,7 +147,7 @@
             return true;
         }
         boolean pairGone = table.standby() == null || !live.containsKey(table.standby());
-        return pairGone && self.equals(firstStaying(live)) && (released(table) || pledgesOver(table, service, now));
+        return pairGone && self.equals(firstStaying(live, home)) && (released(table) || pledgesOver(table, now));
     }
 
     private boolean released(AssignmentTable table) {
@@ -143,8 +157,8 @@
     }
 
     /** Tells whether no absent host of the table can still be serving on a pledge. */
-    private boolean pledgesOver(AssignmentTable table, ServiceDocument service, Instant now) {
-        Duration limit = service.continuity();
+    private boolean pledgesOver(AssignmentTable table, Instant now) {
+        Duration limit = table.continuity();
         return namedHosts(table).stream()
                 .filter(absentSince::containsKey)
                 .allMatch(host -> !now.isBefore(absentSince.get(host).plus(limit)));
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentWriter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentWriter.java
@@ -8,10 +8,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.dragonflymux.core.admission.AdmissionService;
+import org.dragonflymux.core.admission.AdmissionPool;
 import org.dragonflymux.core.configuration.ConfigurationReplica;
 import org.dragonflymux.core.configuration.StoredEntry;
 import org.dragonflymux.core.document.AssignmentTable;
+import org.dragonflymux.core.document.CustomerDocument;
 import org.dragonflymux.core.document.DocumentCodec;
 import org.dragonflymux.core.document.DocumentKey;
 import org.dragonflymux.core.document.Lane;
@@ -63,10 +64,15 @@
         return new AssignmentWriter(replica, duty, session, store, outbox);
     }
 
-    /** Returns the services that have tables: the operators' and the project's own. */
+    /** Returns the services that have tables: the operators' and the admission pools. */
     public static List<ServiceDocument> services(ConfigurationReplica replica) {
         List<ServiceDocument> services = new ArrayList<>(replica.all(ServiceDocument.class));
-        services.add(AdmissionService.service());
+        int continuityMillis = services.stream()
+                .mapToInt(ServiceDocument::continuityMillis)
+                .max()
+                .orElse(ServiceDocument.DEFAULT_CONTINUITY_MILLIS);
+        AdmissionPool.all(replica.all(CustomerDocument.class))
+                .forEach(pool -> services.add(pool.service(continuityMillis)));
         return services;
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TableDraft.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TableDraft.java
@@ -23,6 +23,7 @@
     HostId assigner;
     HostId standby;
     long term;
+    int continuityMillis;
 
     private final ServiceName service;
     private final int partitions;
@@ -47,6 +48,7 @@
         draft.assigner = table.assigner();
         draft.standby = table.standby();
         draft.term = table.term();
+        draft.continuityMillis = table.continuityMillis();
         draft.nextFence = table.nextFence();
         table.lanes().forEach(lane -> draft.lanes.put(lane.target(), lane));
         table.owners()
@@ -98,6 +100,7 @@
                 term,
                 assigner,
                 standby,
+                continuityMillis,
                 nextFence,
                 partitions,
                 pins,
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
@@ -1,6 +1,5 @@
 package org.dragonflymux.core.assignment;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -58,6 +57,7 @@
     }
 
     private AssignmentTable plan() {
+        draft.continuityMillis = input.service().continuityMillis();
         chooseStandby();
         addLanes();
         repairDispatchers();
@@ -82,17 +82,17 @@
     }
 
     private void chooseStandby() {
-        boolean usable = draft.standby != null && !draft.standby.equals(draft.assigner) && staying(draft.standby);
-        if (usable) {
-            return;
-        }
         FailureDomain own = domainOf(input.self());
-        draft.standby = input.liveHosts().values().stream()
+        Optional<HostRecord> best = input.liveHosts().values().stream()
                 .filter(host -> !host.leaving() && !host.host().equals(draft.assigner))
                 .min(Comparator.comparing((HostRecord host) -> standbyRank(host, own))
-                        .thenComparing(HostRecord::host))
-                .map(HostRecord::host)
-                .orElse(null);
+                        .thenComparing(HostRecord::host));
+        boolean usable = draft.standby != null && !draft.standby.equals(draft.assigner) && staying(draft.standby);
+        boolean asGood = usable
+                && standbyRank(input.liveHosts().get(draft.standby), own) <= standbyRank(best.orElseThrow(), own);
+        if (!asGood) {
+            draft.standby = best.map(HostRecord::host).orElse(null);
+        }
     }
 
     // With a home, the pair stays there, so that the home goes on while it is cut off; else two domains share it.
@@ -322,8 +322,9 @@
         if (targets.size() < 2 || !draft.moves.isEmpty()) {
             return;
         }
+        Map<Integer, Double> unitRates = unitRates();
         Map<TargetId, Double> rates = new HashMap<>();
-        targets.forEach(target -> rates.put(target, reportedRate(target)));
+        targets.forEach(target -> rates.put(target, rateOf(target, unitRates)));
         TargetId hottest =
                 targets.stream().max(Comparator.comparingDouble(rates::get)).orElseThrow();
         TargetId coolest =
@@ -336,26 +337,34 @@
             return;
         }
         double surplus = (rates.get(hottest) - rates.get(coolest)) / 2;
-        relievingUnit(hottest, surplus).ifPresent(unit -> draft.startMove(unit, coolest));
-    }
-
-    private double reportedRate(TargetId target) {
-        return report(draft.lanes.get(target))
-                .map(found -> found.hottest().stream()
-                        .mapToDouble(UnitLoad::requestsPerSecond)
-                        .sum())
-                .orElse(0.0);
-    }
-
-    /** Returns the hottest unit whose move leaves the receiver no hotter than the giver. */
-    private Optional<Integer> relievingUnit(TargetId from, double surplus) {
-        List<UnitLoad> loads = new ArrayList<>();
-        report(draft.lanes.get(from)).ifPresent(found -> loads.addAll(found.hottest()));
-        return loads.stream()
-                .filter(load -> load.requestsPerSecond() <= surplus)
-                .filter(load -> load.unit() < draft.partitions() && from.equals(draft.owners.get(load.unit())))
-                .max(Comparator.comparingDouble(UnitLoad::requestsPerSecond))
-                .map(UnitLoad::unit);
+        relievingUnit(hottest, surplus, unitRates).ifPresent(unit -> draft.startMove(unit, coolest));
+    }
+
+    /** Returns the reported rates by unit, so that a unit's load follows it to its new owner at once. */
+    private Map<Integer, Double> unitRates() {
+        Map<Integer, Double> rates = new HashMap<>();
+        input.reports()
+                .values()
+                .forEach(found ->
+                        found.hottest().forEach(load -> rates.merge(load.unit(), load.requestsPerSecond(), Math::max)));
+        return rates;
+    }
+
+    private double rateOf(TargetId target, Map<Integer, Double> unitRates) {
+        return unitRates.entrySet().stream()
+                .filter(entry -> entry.getKey() < draft.owners.size())
+                .filter(entry -> target.equals(draft.owners.get(entry.getKey())))
+                .mapToDouble(Map.Entry::getValue)
+                .sum();
+    }
+
+    /** Returns the hottest partition whose move leaves the receiver no hotter than the giver. */
+    private Optional<Integer> relievingUnit(TargetId from, double surplus, Map<Integer, Double> unitRates) {
+        return unitRates.entrySet().stream()
+                .filter(entry -> entry.getValue() <= surplus)
+                .filter(entry -> entry.getKey() < draft.partitions() && from.equals(draft.owners.get(entry.getKey())))
+                .max(Map.Entry.comparingByValue())
+                .map(Map.Entry::getKey);
     }
 
     private void removeLanes() {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
@@ -228,7 +228,7 @@
     }
 
     private boolean authorized(ServiceDocument document, Instant now) {
-        return now.isBefore(authority.until(document.name(), document.continuity()));
+        return now.isBefore(authority.until(document.name()));
     }
 
     private void admit(LaneHolder holder, int unit, QueuedRequest request, OutcomeHandler handler, Instant now) {
@@ -290,7 +290,13 @@
                 request.deadline(),
                 attemptTimeout(holder, request, submission, now),
                 holder.service().maxAnswerBytes(),
-                !request.repeatable() || submission.attempts() > 1));
+                freshConnection(holder, request, submission, now)));
+    }
+
+    // An open connection may be lost in the very moment of sending; only a request that may be repeated takes the risk.
+    private static boolean freshConnection(
+            LaneHolder holder, QueuedRequest request, Submission submission, Instant now) {
+        return !request.repeatable() || submission.attempts() > 1 || holder.freshConnectionsOnly(now);
     }
 
     // A repeatable request leaves time for a second attempt, since its connection may have gone silent.
@@ -375,7 +381,14 @@
     }
 
     private void timedOut(LaneHolder holder, QueuedRequest request, Instant now) {
-        holder.window().shrink();
+        boolean silentConnection = request.repeatable()
+                && !holder.freshConnectionsOnly(now)
+                && holder.grants().usable(now);
+        if (silentConnection) {
+            holder.connectionWentSilent(now);
+        } else {
+            holder.window().shrink();
+        }
         boolean again = request.repeatable()
                 && submissions.get(request.id()).attempts() == 1
                 && held(holder)
@@ -472,8 +485,7 @@
     /** Sends grants that are due, drops requests whose deadline passed, and settles what has waited for evidence. */
     public void tick(Instant now) {
         for (LaneHolder holder : List.copyOf(lanes.values())) {
-            Instant until =
-                    authority.until(holder.service().name(), holder.service().continuity());
+            Instant until = authority.until(holder.service().name());
             holder.grants().due(numbers.next(), until, now).ifPresent(grant -> outbox.add(grantEffect(holder, grant)));
             refuseAll(
                     holder.evict(request -> !now.isBefore(request.deadline())), RefusalReason.DEADLINE_TOO_SHORT, now);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/LaneHolder.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/LaneHolder.java
@@ -29,6 +29,7 @@
 
     private static final int QUEUED_PER_SLOT = 32;
     private static final int MAX_REPORTED_UNITS = 16;
+    private static final Duration FRESH_CONNECTIONS = Duration.ofSeconds(30);
     private static final Duration LOAD_WINDOW = Duration.ofSeconds(5);
 
     private final ServiceDocument service;
@@ -45,6 +46,7 @@
     private Instant loadSince;
     private List<UnitLoad> hottest = List.of();
     private Instant latestSentDeadline;
+    private Instant freshConnectionsUntil = Instant.MIN;
 
     private LaneHolder(ServiceDocument service, TargetDeclaration target, Lane lane, Instant now) {
         this.service = service;
@@ -171,6 +173,16 @@
         return queue.poll(request -> running.isEmpty() || !request.suspect());
     }
 
+    /** Notes that an open connection went silent although the target lives: others may have, too. */
+    void connectionWentSilent(Instant now) {
+        freshConnectionsUntil = now.plus(FRESH_CONNECTIONS);
+    }
+
+    /** Tells whether requests are to be sent over new connections only. */
+    boolean freshConnectionsOnly(Instant now) {
+        return now.isBefore(freshConnectionsUntil);
+    }
+
     void started(long attempt, QueuedRequest request) {
         running.put(attempt, request);
         if (request.deadline().isAfter(latestSentDeadline)) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/document/AssignmentTable.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/document/AssignmentTable.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.core.document;
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
+import java.time.Duration;
 import java.util.List;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
@@ -15,6 +16,7 @@
  * @param term grows each time another host becomes assigner
  * @param assigner the host that changes the table
  * @param standby the host that takes over from the assigner, or null when no other host is live
+ * @param continuityMillis how long hosts may serve on pledges while the store is unreachable, in milliseconds
  * @param nextFence the fencing token that the next change of a lane gets
  * @param partitions how many of the units are partitions
  * @param pins the hashes of the pinned keys, 16 hexadecimal digits each
@@ -27,6 +29,7 @@
         long term,
         HostId assigner,
         HostId standby,
+        int continuityMillis,
         long nextFence,
         int partitions,
         List<String> pins,
@@ -45,6 +48,11 @@
         moves = List.copyOf(moves);
     }
 
+    /** Returns how long pledges may stand in for the store. */
+    public Duration continuity() {
+        return Duration.ofMillis(continuityMillis);
+    }
+
     @Override
     @JsonIgnore
     public DocumentKey key() {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/document/DocumentRules.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/document/DocumentRules.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
-import org.dragonflymux.core.admission.AdmissionService;
+import org.dragonflymux.core.admission.AdmissionPool;
 import org.dragonflymux.core.admission.RateLimit;
 import org.dragonflymux.core.name.TargetId;
 
@@ -54,7 +54,10 @@
 
     private void service(ServiceDocument service) {
         require(service.name() != null, "/name", "the service's name");
-        require(!AdmissionService.NAME.equals(service.name()), "/name", "a name other than the reserved one");
+        require(
+                service.name() == null || !AdmissionPool.reserved(service.name()),
+                "/name",
+                "a name that does not start with the reserved word admission");
         between(service.partitions(), 1, MAX_PARTITIONS, "/partitions");
         between(service.deadlineMillis(), 1, MAX_DEADLINE_MILLIS, "/deadline-millis");
         between(service.credentialTrustMillis(), 1, Integer.MAX_VALUE, "/credential-trust-millis");
@@ -93,11 +96,14 @@
 
     private void customer(CustomerDocument customer) {
         require(customer.name() != null, "/name", "the customer's name");
-        require(
-                customer.ratePerSecond() > 0 && Double.isFinite(customer.ratePerSecond()),
-                "/rate-per-second",
-                "a rate above 0");
-        between(customer.burst(), RateLimit.leastBurst(customer.ratePerSecond()), Integer.MAX_VALUE, "/burst");
+        RateLimit unreserved = RateLimit.unreserved(customer);
+        limit(unreserved, "/rate-per-second", "/burst", "beside the reserves ");
+        customer.reserves()
+                .forEach((domain, reserve) -> limit(
+                        RateLimit.of(reserve),
+                        "/reserves/" + domain + "/rate-per-second",
+                        "/reserves/" + domain + "/burst",
+                        ""));
         between(customer.weight(), 1, MAX_WEIGHT, "/weight");
         for (int i = 0; i < customer.credentials().size(); i++) {
             CredentialGrant grant = customer.credentials().get(i);
@@ -110,6 +116,15 @@
         }
     }
 
+    private void limit(RateLimit limit, String ratePath, String burstPath, String where) {
+        boolean rate = limit.ratePerSecond() > 0 && Double.isFinite(limit.ratePerSecond());
+        require(rate, ratePath, where + "a rate above 0");
+        if (rate) {
+            int least = RateLimit.leastBurst(limit.ratePerSecond());
+            require(limit.burst() >= least, burstPath, where + "at least " + least + ", so that tokens can be lent");
+        }
+    }
+
     private void targetIntent(TargetIntent intent) {
         require(intent.service() != null, "/service", "a service");
         require(intent.target() != null, "/target", "a target");
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/document/ServiceDocument.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/document/ServiceDocument.java
@@ -36,10 +36,13 @@
         List<TargetDeclaration> targets)
         implements Document {
 
+    /** How long pledges may stand in for the store when the document does not say, in milliseconds. */
+    public static final int DEFAULT_CONTINUITY_MILLIS = 300_000;
+
     private static final int DEFAULT_PARTITIONS = 256;
     private static final int DEFAULT_DEADLINE_MILLIS = 10_000;
     private static final int DEFAULT_CREDENTIAL_TRUST_MILLIS = 10_000;
-    private static final int DEFAULT_CONTINUITY_MILLIS = 300_000;
+
     private static final int DEFAULT_MAX_ANSWER_BYTES = 8 << 20;
 
     /** Fills absent fields with their defaults. */
@@ -74,9 +77,4 @@
     public Duration credentialTrust() {
         return Duration.ofMillis(credentialTrustMillis);
     }
-
-    /** Returns how long pledges may stand in for the store. */
-    public Duration continuity() {
-        return Duration.ofMillis(continuityMillis);
-    }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/host/EntryHost.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/host/EntryHost.java
@@ -7,11 +7,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.dragonflymux.core.admission.AdmissionDuty;
-import org.dragonflymux.core.admission.AdmissionService;
+import org.dragonflymux.core.admission.AdmissionPool;
 import org.dragonflymux.core.assignment.AssignmentDuty;
 import org.dragonflymux.core.assignment.AssignmentWriter;
 import org.dragonflymux.core.assignment.LaneReport;
@@ -84,8 +83,9 @@
         this.writer = AssignmentWriter.of(replica, assignment, session, store, outbox);
         this.dispatch = DispatchDuty.of(self, replica, routes, authority, crashGuard, numbers, outbox);
         this.ingress = IngressDuty.of(self, replica, routes, dispatch, outbox);
-        this.admission = AdmissionDuty.of(self, replica, routes, authority, numbers, outbox, ingress);
+        this.admission = AdmissionDuty.of(record, replica, routes, authority, numbers, outbox, ingress);
         this.ingress.admitBy(admission);
+        this.authority.pledgeBy(writer::pledge);
     }
 
     /**
@@ -131,10 +131,13 @@
         if (customers) {
             ingress.followCustomers();
         }
-        if (services.remove(AdmissionService.NAME)) {
-            admission.follow(now);
+        for (ServiceName service : services) {
+            if (AdmissionPool.reserved(service)) {
+                admission.follow(service, now);
+            } else {
+                dispatch.follow(service, now);
+            }
         }
-        services.forEach(service -> dispatch.follow(service, now));
     }
 
     private void tick(Instant now) {
@@ -156,7 +159,7 @@
 
     private void seekAuthority(Instant now) {
         Set<ServiceName> services = new HashSet<>(dispatch.services());
-        services.add(AdmissionService.NAME);
+        services.addAll(admission.pools());
         authority.seek(services, sync::somePeers, now);
     }
 
@@ -262,11 +265,7 @@
 
     /** Returns until when the host may act on its lanes of a service. */
     public Instant authorityUntil(ServiceName service) {
-        Optional<ServiceDocument> document = AssignmentWriter.services(replica).stream()
-                .filter(found -> found.name().equals(service))
-                .findFirst();
-        return document.map(found -> authority.until(service, found.continuity()))
-                .orElse(Instant.MIN);
+        return authority.until(service);
     }
 
     /** Returns figures for metrics. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/ingress/IngressDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/ingress/IngressDuty.java
@@ -138,6 +138,7 @@
     public void admitted(long request, Instant now) {
         PendingRequest waiting = pending.get(request);
         if (waiting != null) {
+            outbox.note(new Observation.Admitted(waiting.customer().name()));
             waiting.hold(now);
             route(waiting, now);
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/message/Observation.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/message/Observation.java
@@ -1,5 +1,6 @@
 package org.dragonflymux.core.message;
 
+import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
@@ -31,6 +32,9 @@
     /** A request was tried again by the system. */
     record Retried(ServiceName service) implements Observation {}
 
+    /** A request of a customer got its token. */
+    record Admitted(CustomerName customer) implements Observation {}
+
     /** Tokens were lent to a host, possibly this one. */
     record TokensLent(int asked, int lent) implements Observation {}
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/message/PeerMessage.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/message/PeerMessage.java
@@ -39,8 +39,8 @@
     /** Returns the outcome of a forwarded request. */
     record ForwardOutcome(long request, Outcome outcome) implements PeerMessage {}
 
-    /** Asks the holder of a customer's bucket for tokens. */
-    record Borrow(long loan, CustomerName customer, int tokens) implements PeerMessage {}
+    /** Asks the holder of a customer's bucket in a pool for tokens. */
+    record Borrow(long loan, ServiceName pool, CustomerName customer, int tokens) implements PeerMessage {}
 
     /**
      * Lends tokens.
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/session/DutyAuthority.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/session/DutyAuthority.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Supplier;
 import org.dragonflymux.core.configuration.ConfigurationReplica;
 import org.dragonflymux.core.document.AssignmentTable;
@@ -35,6 +36,7 @@
     private final Outbox outbox;
     private final Map<Long, Asked> asked = new HashMap<>();
     private Instant nextSeek = Instant.MIN;
+    private BiPredicate<PeerMessage.AskPledge, Instant> ownPledge = (_, _) -> false;
 
     private DutyAuthority(
             ConfigurationReplica replica,
@@ -59,19 +61,15 @@
         return new DutyAuthority(replica, authority, session, numbers, outbox);
     }
 
-    /**
-     * Returns until when this host may act on its lanes of a service.
-     *
-     * @param continuity how long pledges may stand in for the store
-     */
-    public Instant until(ServiceName service, Duration continuity) {
+    /** Returns until when this host may act on its lanes of a service. */
+    public Instant until(ServiceName service) {
         // Before the replica has caught up with the session, it may show lanes that others were given meanwhile.
         boolean caughtUp = session.sessionRevision() != 0 && replica.revision() >= session.sessionRevision();
         if (!caughtUp) {
             return Instant.MIN;
         }
         return replica.find(DocumentKey.assignment(service), AssignmentTable.class)
-                .map(table -> authority.until(service, table.assigner(), table.standby(), continuity))
+                .map(table -> authority.until(service, table.assigner(), table.standby(), table.continuity()))
                 .orElse(Instant.MIN);
     }
 
@@ -112,11 +110,19 @@
     }
 
     private void seekPledge(ServiceName service, long tableRevision, HostId host, Instant now) {
-        replica.host(host).ifPresent(record -> {
-            long question = numbers.next();
-            asked.put(question, new Asked(service, host, now));
-            outbox.send(record.peerAddress(), new PeerMessage.AskPledge(question, service, tableRevision));
-        });
+        long question = numbers.next();
+        PeerMessage.AskPledge ask = new PeerMessage.AskPledge(question, service, tableRevision);
+        asked.put(question, new Asked(service, host, now));
+        if (!host.equals(session.record().host())) {
+            replica.host(host).ifPresent(record -> outbox.send(record.peerAddress(), ask));
+        } else if (ownPledge.test(ask, now)) {
+            pledged(new PeerMessage.Pledge(question, service, host));
+        }
+    }
+
+    /** Sets who gives this host's pledges to itself. */
+    public void pledgeBy(BiPredicate<PeerMessage.AskPledge, Instant> pledge) {
+        ownPledge = pledge;
     }
 
     /** Takes in a pledge. */
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/ObservationLog.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/ObservationLog.java
@@ -58,6 +58,7 @@
                         "fingerprint",
                         Long.toHexString(held.fingerprint()));
             case Observation.Retried retried -> metrics.count("retries." + retried.service());
+            case Observation.Admitted _ -> metrics.count("admitted");
             case Observation.TokensLent lent -> {
                 metrics.count("tokens.asked", lent.asked());
                 metrics.count("tokens.lent", lent.lent());
--- a/dragonflymux-platform/src/test/java/org/dragonflymux/platform/peer/PeerCodecTest.java
+++ b/dragonflymux-platform/src/test/java/org/dragonflymux/platform/peer/PeerCodecTest.java
@@ -44,7 +44,7 @@
                         4, new Outcome.Refused(RefusalReason.RATE_EXCEEDED, Duration.ofMillis(12))),
                 new PeerMessage.ForwardOutcome(4, new Outcome.Unknown(UnknownReason.TARGET_LOST)),
                 new PeerMessage.ForwardOutcome(4, new Outcome.AlreadyRan(201)),
-                new PeerMessage.Borrow(5, CustomerName.of("league"), 3),
+                new PeerMessage.Borrow(5, SERVICE, CustomerName.of("league"), 3),
                 new PeerMessage.Lend(5, 2, -1),
                 new PeerMessage.Report(HostId.of("a.1"), report),
                 new PeerMessage.AskPledge(6, SERVICE, 40),
@@ -96,7 +96,7 @@
 
         @Test
         void inTheMiddleOfAMessageNeverEscapesAsAnException() {
-            byte[] frame = PeerCodec.encode(new PeerMessage.Borrow(5, CustomerName.of("league"), 3));
+            byte[] frame = PeerCodec.encode(new PeerMessage.Borrow(5, SERVICE, CustomerName.of("league"), 3));
             for (int at = 0; at < frame.length; at++) {
                 byte[] bent = frame.clone();
                 bent[at] ^= 0x55;
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/CallerSteps.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/CallerSteps.java
@@ -129,7 +129,7 @@
 
     @When("customer {word} has rate {int} and burst {int}")
     public void customer(String name, int rate, int burst) {
-        world.fleet.customer(name, rate, burst, 1);
+        world.fleet.customer(name, rate, burst, 1, java.util.Map.of());
         world.fleet.advance(Duration.ofSeconds(2));
     }
 
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/World.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/World.java
@@ -4,8 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.dragonflymux.core.document.Fencing;
+import org.dragonflymux.core.document.RateReserve;
 import org.dragonflymux.core.document.ServiceDocument;
 import org.dragonflymux.core.document.TargetDeclaration;
 import org.dragonflymux.core.name.FailureDomain;
@@ -67,7 +69,8 @@
                 Set.of("GET"),
                 declarations);
         fleet.apply(document);
-        fleet.customer("acme", 1000, 500, 1);
+        Map<FailureDomain, RateReserve> reserves = home == null ? Map.of() : Map.of(home, new RateReserve(400, 100));
+        fleet.customer("acme", 1000, 500, 1, reserves);
         for (int d = 0; d < domains; d++) {
             for (int h = 1; h <= hostsEach; h++) {
                 String domain = String.valueOf((char) ('a' + d));
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Checkers.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Checkers.java
@@ -9,19 +9,22 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.dragonflymux.core.message.Header;
 import org.dragonflymux.core.message.Outcome;
 import org.dragonflymux.core.message.ServiceRequest;
 
 /** Watches everything that runs and every answer for breaches of what must always hold. */
 public final class Checkers {
 
+    /** The header by which a target tells one call from another with the same path. */
+    static final String CALL_HEADER = "Call";
+
     private record Run(String target, Instant from, BooleanSupplier mayTakeEffect) {}
 
     private final List<String> breaches = new ArrayList<>();
     private final Map<String, Run> lastRunByKey = new HashMap<>();
     private final Map<String, Integer> runsByIdempotencyKey = new HashMap<>();
-    private final Set<String> pathsRun = new HashSet<>();
-    private final List<Instant> starts = new ArrayList<>();
+    private final Set<String> callsRun = new HashSet<>();
     private final Map<String, List<Instant>> startsByTarget = new HashMap<>();
     private final Map<String, List<Instant>> admissionsByCustomer = new HashMap<>();
     private int crashes;
@@ -32,12 +35,8 @@
      * @param mayTakeEffect tells whether the run goes on and may still take effect
      */
     void started(String target, ServiceRequest request, BooleanSupplier mayTakeEffect, Instant now) {
-        starts.add(now);
         startsByTarget.computeIfAbsent(target, name -> new ArrayList<>()).add(now);
-        pathsRun.add(request.path());
-        admissionsByCustomer
-                .computeIfAbsent(request.customer().value(), name -> new ArrayList<>())
-                .add(now);
+        callsRun.add(call(request));
         String key = request.service() + "/" + request.key();
         Run last = lastRunByKey.get(key);
         if (last != null
@@ -66,12 +65,27 @@
     /** A target crashed under a request. */
     void crashed(ServiceRequest request) {
         crashes++;
-        pathsRun.add(request.path());
+        callsRun.add(call(request));
+    }
+
+    private static String call(ServiceRequest request) {
+        return request.headers().stream()
+                .filter(header -> header.name().equals(CALL_HEADER))
+                .map(Header::value)
+                .findFirst()
+                .orElse("");
+    }
+
+    /** A host spent a token on a customer's request. */
+    void admitted(String customer, Instant now) {
+        admissionsByCustomer
+                .computeIfAbsent(customer, name -> new ArrayList<>())
+                .add(now);
     }
 
     /** A caller was answered. */
-    void answered(String path, Outcome outcome) {
-        if (outcome instanceof Outcome.Refused refused && pathsRun.contains(path)) {
+    void answered(long call, String path, Outcome outcome) {
+        if (outcome instanceof Outcome.Refused refused && callsRun.contains(Long.toString(call))) {
             breaches.add("false 'not run' (%s) of %s".formatted(refused.reason(), path));
         }
         if (outcome instanceof Outcome.Answered answered) {
@@ -111,7 +125,7 @@
                 .count();
     }
 
-    /** Returns the most requests of a customer that started within any window of a length. */
+    /** Returns the most requests of a customer that were admitted within any window of a length. */
     public int mostWithin(String customer, Duration window) {
         List<Instant> admitted = admissionsByCustomer.getOrDefault(customer, List.of());
         int most = 0;
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Fleet.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Fleet.java
@@ -21,11 +21,14 @@
 import org.dragonflymux.core.document.DocumentCodec;
 import org.dragonflymux.core.document.DocumentKey;
 import org.dragonflymux.core.document.HostRecord;
+import org.dragonflymux.core.document.RateReserve;
 import org.dragonflymux.core.document.ServiceDocument;
 import org.dragonflymux.core.host.EntryHost;
 import org.dragonflymux.core.message.CallerRequest;
 import org.dragonflymux.core.message.Effect;
 import org.dragonflymux.core.message.Event;
+import org.dragonflymux.core.message.Header;
+import org.dragonflymux.core.message.Observation;
 import org.dragonflymux.core.message.Outcome;
 import org.dragonflymux.core.message.PeerMessage;
 import org.dragonflymux.core.message.StoreCall;
@@ -42,6 +45,7 @@
 /** Entry hosts, targets and a store on one timeline. */
 public final class Fleet {
 
+    private static final boolean TRACE = Boolean.getBoolean("scenario.trace");
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(800);
     private static final Duration GRANT_TIMEOUT = Duration.ofMillis(600);
     private static final Duration LINK_TIMEOUT = Duration.ofMillis(1500);
@@ -144,18 +148,19 @@
     }
 
     /** Writes a customer with one credential, {@code key-of-NAME}. */
-    public void customer(String name, double rate, int burst, int weight) {
+    public void customer(String name, double rate, int burst, int weight, Map<FailureDomain, RateReserve> reserves) {
         apply(new CustomerDocument(
                 CustomerName.of(name),
                 rate,
                 burst,
                 weight,
+                reserves,
                 List.of(new CredentialGrant("id", CredentialRegistry.hash("key-of-" + name)))));
     }
 
     /** Withdraws a customer's credentials. */
     public void withdraw(String name) {
-        apply(new CustomerDocument(CustomerName.of(name), 100, 50, 1, List.of()));
+        apply(new CustomerDocument(CustomerName.of(name), 100, 50, 1, Map.of(), List.of()));
     }
 
     // ---- hosts ----
@@ -273,17 +278,25 @@
             case Effect.CallStore call -> callStore(host, machine, call);
             case Effect.CallTarget call -> callTarget(host, machine, call);
             case Effect.SendGrant grant -> sendGrant(host, machine, grant);
-            case Effect.Note _ -> {}
+            case Effect.Note note -> observed(host, note.observation());
             case Effect.Exit _ -> host.alive = false;
         }
     }
 
+    private void observed(Host host, Observation observation) {
+        if (observation instanceof Observation.Admitted admitted) {
+            checkers.admitted(admitted.customer().value(), time.now());
+        } else if (TRACE) {
+            System.out.println(time.now() + " " + host.name + " " + observation);
+        }
+    }
+
     private void answerCaller(Effect.AnswerCaller answer) {
         Call call = calls.get(answer.request());
         if (call.outcome == null) {
             call.outcome = answer.outcome();
             call.answeredAt = time.now();
-            checkers.answered(call.path, answer.outcome());
+            checkers.answered(answer.request(), call.path, answer.outcome());
         }
     }
 
@@ -512,7 +525,7 @@
                 key,
                 method,
                 path,
-                List.of(),
+                List.of(new Header(Checkers.CALL_HEADER, Long.toString(id))),
                 new byte[0],
                 idempotencyKey,
                 null);
