--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/FairQueue.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/FairQueue.java
@@ -70,20 +70,20 @@
     }
 
     private QueuedRequest dropFromLongest() {
-        Map.Entry<Position, QueuedRequest> longest = null;
+        Position last = null;
         double longestBacklog = 0;
-        for (Map.Entry<Position, QueuedRequest> entry : order.descendingMap().entrySet()) {
-            double backlog = (double) lengths.get(entry.getValue().request().customer())
-                    / entry.getValue().weight();
+        for (Position position : order.descendingKeySet()) {
+            QueuedRequest request = order.get(position);
+            double backlog = (double) lengths.get(request.request().customer()) / request.weight();
             if (backlog > longestBacklog) {
                 longestBacklog = backlog;
-                longest = entry;
+                last = position;
             }
         }
-        remove(longest.getKey());
-        double share = 1.0 / longest.getValue().weight();
-        lastFinish.computeIfPresent(longest.getValue().request().customer(), (name, finish) -> finish - share);
-        return longest.getValue();
+        QueuedRequest dropped = remove(last);
+        double share = 1.0 / dropped.weight();
+        lastFinish.computeIfPresent(dropped.request().customer(), (name, finish) -> finish - share);
+        return dropped;
     }
 
     private QueuedRequest remove(Position position) {
