--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/StormTest.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/StormTest.java
@@ -23,7 +23,7 @@
 class StormTest {
 
     private static final int FAULTS = 25;
-    private static final int SEEDS_EACH = 12;
+    private static final int SEEDS_EACH = Integer.parseInt(System.getenv().getOrDefault("STORM_SEEDS", "12"));
     private static final Duration MENDING = Duration.ofSeconds(30);
 
     /** One storm. */
