--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentDuty.java
@@ -110,7 +110,8 @@
         }
         AssignmentTable next = TablePlanner.next(input(service, live), table.get());
         boolean handOver = leaving || isAway(service, live, next);
-        if (next.equals(table.get()) && handOver && live.containsKey(next.standby())) {
+        boolean standbyLive = next.standby() != null && live.containsKey(next.standby());
+        if (next.equals(table.get()) && handOver && standbyLive) {
             next = TablePlanner.handOver(next);
         }
         return next.equals(table.get()) ? Optional.empty() : Optional.of(next);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
@@ -66,9 +66,19 @@
 
     private record LaneKey(ServiceName service, TargetId target) {}
 
-    private record Submission(OutcomeHandler handler, Optional<IdempotencyKey> idempotencyKey, int attempts) {
+    private record Submission(
+            OutcomeHandler handler, Optional<IdempotencyKey> idempotencyKey, int attempts, boolean mayHaveRun) {
+
+        static Submission of(OutcomeHandler handler, Optional<IdempotencyKey> idempotencyKey) {
+            return new Submission(handler, idempotencyKey, 0, false);
+        }
+
         Submission withAttempt() {
-            return new Submission(handler, idempotencyKey, attempts + 1);
+            return new Submission(handler, idempotencyKey, attempts + 1, mayHaveRun);
+        }
+
+        Submission uncertain() {
+            return new Submission(handler, idempotencyKey, attempts, true);
         }
     }
 
@@ -257,7 +267,7 @@
                 return;
             }
         }
-        submissions.put(request.id(), new Submission(handler, key, 0));
+        submissions.put(request.id(), Submission.of(handler, key));
         holder.enqueue(request, now).ifPresent(dropped -> refuse(dropped, RefusalReason.QUEUE_FULL, now));
         pump(holder, now);
     }
@@ -321,6 +331,9 @@
         LaneHolder holder = sent.holder();
         boolean certain = !(result instanceof TargetResult.Broken || result instanceof TargetResult.TimedOut);
         holder.ended(attempt, certain);
+        if (!certain) {
+            submissions.computeIfPresent(sent.request().id(), (_, submission) -> submission.uncertain());
+        }
         ended(holder, sent.request(), result, Duration.between(sent.sentAt(), now), now);
         pump(holder, now);
     }
@@ -469,8 +482,8 @@
 
     private void refuse(QueuedRequest request, RefusalReason reason, Instant now) {
         Submission submission = submissions.get(request.id());
-        // A repeatable request that was sent before may have run, whatever became of its second attempt.
-        boolean mayHaveRun = submission != null && submission.attempts() > 1;
+        // After an attempt whose end is not known, a refusal of the next attempt does not mean that nothing ran.
+        boolean mayHaveRun = submission != null && submission.mayHaveRun();
         settle(request, mayHaveRun ? new Outcome.Unknown(UnknownReason.TARGET_LOST) : Outcome.Refused.of(reason), now);
     }
 
--- /dev/null
+++ b/dragonflymux-load/src/main/java/org/dragonflymux/load/package-info.java
@@ -0,0 +1,2 @@
+/** The programs dragonfly-load and dragonfly-bench. */
+package org.dragonflymux.load;
--- /dev/null
+++ b/dragonflymux-load/src/main/java/org/dragonflymux/load/plan/ScriptedChange.java
@@ -0,0 +1,30 @@
+package org.dragonflymux.load.plan;
+
+import java.net.URI;
+
+/** Something that happens in the middle of a run. */
+public sealed interface ScriptedChange {
+
+    /** Returns when it happens, in seconds after the start. */
+    double atSecond();
+
+    /** A customer sends at a multiple of its rate from then on. */
+    record Rate(double atSecond, String customer, double factor) implements ScriptedChange {}
+
+    /** A stand-in gets faults; the address takes a JSON body. */
+    record Fault(double atSecond, URI address, String json) implements ScriptedChange {}
+
+    /** Reads {@code SECOND:rate:CUSTOMER:FACTOR} or {@code SECOND:fault:ADDRESS JSON}. */
+    static ScriptedChange parse(String text) {
+        String[] parts = text.split(":", 3);
+        if (parts.length == 3 && parts[1].equals("rate")) {
+            String[] rate = parts[2].split(":", 2);
+            return new Rate(Double.parseDouble(parts[0]), rate[0], Double.parseDouble(rate[1]));
+        }
+        if (parts.length == 3 && parts[1].equals("fault")) {
+            String[] fault = parts[2].split(" ", 2);
+            return new Fault(Double.parseDouble(parts[0]), URI.create(fault[0]), fault[1]);
+        }
+        throw new MalformedPlanException("change", text, "SECOND:rate:CUSTOMER:FACTOR or SECOND:fault:ADDRESS JSON");
+    }
+}
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/StormTest.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/StormTest.java
@@ -178,6 +178,13 @@
         }
     }
 
+    /** Storms in which a request that waited for its second attempt was refused as "not run". */
+    @ParameterizedTest
+    @ValueSource(longs = {35, 1014, 2057, 3064})
+    void requestsBetweenTwoAttempts(long seed) {
+        run(seed, Fencing.CHECKED);
+    }
+
     @Test
     void targetsThatCheckDeadlines() {
         for (long seed = 0; seed < SEEDS_EACH; seed++) {
