--- /dev/null
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/target/TargetClient.java
@@ -0,0 +1,174 @@
+package org.dragonflymux.entry.target;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.handler.codec.TooLongFrameException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+import org.dragonflymux.core.message.Effect;
+import org.dragonflymux.core.message.Event;
+import org.dragonflymux.core.message.GrantReply;
+import org.dragonflymux.core.message.Header;
+import org.dragonflymux.core.message.Outcome;
+import org.dragonflymux.core.message.ServiceRequest;
+import org.dragonflymux.core.message.TargetResult;
+import org.dragonflymux.platform.http.Executions;
+import org.dragonflymux.platform.http.TargetProtocol;
+import ratpack.http.client.HttpClient;
+import ratpack.http.client.HttpClientReadTimeoutException;
+import ratpack.http.client.ReceivedResponse;
+import ratpack.http.client.RequestSpec;
+
+/** Carries requests and grants to targets; each call ends with exactly one event. */
+public final class TargetClient {
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration GRANT_TIMEOUT = Duration.ofMillis(600);
+    private static final int POOL_SIZE = 16;
+    private static final int NO_POOL = 0;
+    private static final int MAX_GRANT_BYTES = 4096;
+    private static final int MAX_ANSWER_BYTES = 64 << 20;
+
+    private final Executions executions;
+    private final Consumer<Event> events;
+    private final HttpClient pooled;
+    private final HttpClient unpooled;
+    private final HttpClient grants;
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    private TargetClient(Executions executions, Consumer<Event> events) {
+        this.executions = executions;
+        this.events = events;
+        this.pooled = executions.client(POOL_SIZE, MAX_ANSWER_BYTES, CONNECT_TIMEOUT);
+        this.unpooled = executions.client(NO_POOL, MAX_ANSWER_BYTES, CONNECT_TIMEOUT);
+        this.grants = executions.client(1, MAX_GRANT_BYTES, CONNECT_TIMEOUT);
+    }
+
+    /**
+     * Returns a client.
+     *
+     * @param events takes in the end of each call, on any thread
+     */
+    public static TargetClient of(Executions executions, Consumer<Event> events) {
+        return new TargetClient(executions, events);
+    }
+
+    /** Sends a request. */
+    public void call(Effect.CallTarget call) {
+        HttpClient client = call.freshConnection() ? unpooled : pooled;
+        URI address = URI.create("http://" + call.address() + call.request().path());
+        executions.start(
+                execution -> client.request(address, spec -> fill(spec, call))
+                        .onError(error -> ended(call, failure(error)))
+                        .then(response -> ended(call, result(response))),
+                error -> ended(call, failure(error)));
+    }
+
+    private void ended(Effect.CallTarget call, TargetResult result) {
+        events.accept(new Event.AttemptEnded(call.attempt(), result));
+    }
+
+    private static void fill(RequestSpec spec, Effect.CallTarget call) throws Exception {
+        ServiceRequest request = call.request();
+        spec.method(request.method())
+                .redirects(0)
+                .decompressResponse(false)
+                .maxContentLength(call.maxAnswerBytes())
+                .readTimeout(call.timeout());
+        spec.headers(headers -> {
+            for (Header header : request.headers()) {
+                headers.add(header.name(), header.value());
+            }
+            headers.set(TargetProtocol.FENCE_HEADER, Long.toString(call.fence()));
+            headers.set(
+                    TargetProtocol.DEADLINE_HEADER,
+                    Long.toString(call.deadline().toEpochMilli()));
+            headers.set(TargetProtocol.KEY_HEADER, request.key());
+            headers.set(TargetProtocol.CUSTOMER_HEADER, request.customer().value());
+        });
+        if (request.body().length > 0) {
+            spec.getBody().bytes(request.body());
+        }
+    }
+
+    private static TargetResult result(ReceivedResponse response) {
+        String notRun = response.getHeaders().get(TargetProtocol.NOT_RUN_HEADER);
+        if (notRun != null) {
+            return new TargetResult.Declined(declineReason(notRun));
+        }
+        List<Header> headers = new ArrayList<>();
+        response.getHeaders()
+                .asMultiValueMap()
+                .getAll()
+                .forEach((name, values) -> values.forEach(value -> headers.add(new Header(name, value))));
+        byte[] body = response.getBody().getBytes();
+        return new TargetResult.Completed(new Outcome.Answered(response.getStatusCode(), headers, body));
+    }
+
+    private static TargetResult.DeclineReason declineReason(String text) {
+        try {
+            return TargetResult.DeclineReason.valueOf(text.toUpperCase(Locale.ROOT));
+        } catch (IllegalArgumentException e) {
+            return TargetResult.DeclineReason.SHED;
+        }
+    }
+
+    private static TargetResult failure(Throwable error) {
+        return switch (error) {
+            case ConnectTimeoutException _ -> new TargetResult.NotSent(false);
+            case ConnectException _ -> new TargetResult.NotSent(true);
+            case HttpClientReadTimeoutException _ -> new TargetResult.TimedOut();
+            case TooLongFrameException _ -> new TargetResult.TooLarge();
+            default -> new TargetResult.Broken();
+        };
+    }
+
+    /** Sends a grant. */
+    public void grant(Effect.SendGrant grant) {
+        URI address = URI.create("http://" + grant.address() + "/" + TargetProtocol.GRANT_PATH);
+        String body = mapper.createObjectNode()
+                .put("fence", grant.fence())
+                .put("boot", grant.boot())
+                .put("validUntilMillis", grant.validUntilMillis())
+                .toString();
+        executions.start(
+                execution -> grants.request(
+                                address,
+                                spec -> spec.post()
+                                        .readTimeout(GRANT_TIMEOUT)
+                                        .body(content ->
+                                                content.type("application/json").text(body)))
+                        .onError(error -> replied(grant, grantFailure(error)))
+                        .then(response -> replied(grant, held(response))),
+                error -> replied(grant, new GrantReply.Silent()));
+    }
+
+    private void replied(Effect.SendGrant grant, GrantReply reply) {
+        events.accept(new Event.GrantReplied(grant.service(), grant.target(), grant.grant(), reply));
+    }
+
+    private static GrantReply grantFailure(Throwable error) {
+        boolean refused = error instanceof ConnectException && !(error instanceof ConnectTimeoutException);
+        return refused ? new GrantReply.Refused() : new GrantReply.Silent();
+    }
+
+    private GrantReply held(ReceivedResponse response) {
+        try {
+            JsonNode answer = mapper.readTree(response.getBody().getText());
+            return new GrantReply.Held(
+                    answer.path("accepted").asBoolean(),
+                    answer.path("boot").asText(),
+                    answer.path("clockMillis").asLong(),
+                    answer.path("leaving").asBoolean());
+        } catch (JsonProcessingException e) {
+            return new GrantReply.Silent();
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/target/package-info.java
@@ -0,0 +1,2 @@
+/** Requests and grants to targets over HTTP. */
+package org.dragonflymux.entry.target;
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/BenchTarget.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/BenchTarget.java
@@ -12,6 +12,7 @@
 import org.dragonflymux.core.message.TargetResult;
 import org.dragonflymux.core.message.TargetResult.DeclineReason;
 import org.dragonflymux.standin.target.TargetModel;
+import org.dragonflymux.standin.time.Timeline;
 
 /** A target on the bench. */
 final class BenchTarget {
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Fleet.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Fleet.java
@@ -41,6 +41,7 @@
 import org.dragonflymux.platform.store.EtcdCodec;
 import org.dragonflymux.platform.store.EtcdRequest;
 import org.dragonflymux.standin.store.KeyValueModel;
+import org.dragonflymux.standin.time.Timeline;
 
 /** Entry hosts, targets and a store on one timeline. */
 public final class Fleet {
@@ -96,7 +97,7 @@
         }
     }
 
-    private final Timeline time = new Timeline();
+    private final Timeline time = Timeline.startingAt(Instant.parse("2026-01-01T00:00:00Z"));
     private final Faults faults = new Faults();
     private final Checkers checkers = new Checkers();
     private final KeyValueModel store = KeyValueModel.empty();
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Timeline.java
+++ b/dragonflymux-standin/src/main/java/org/dragonflymux/standin/time/Timeline.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.scenarios.bench;
+package org.dragonflymux.standin.time;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,24 +6,36 @@
 import java.util.PriorityQueue;
 
 /** Virtual time: what is to happen when, run in order, the same on every run. */
-final class Timeline {
+public final class Timeline {
 
     private record Entry(Instant at, long sequence, Runnable action) {}
 
     private final PriorityQueue<Entry> entries =
             new PriorityQueue<>(Comparator.comparing(Entry::at).thenComparingLong(Entry::sequence));
-    private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+    private Instant now;
     private long sequence;
 
-    Instant now() {
+    private Timeline(Instant now) {
+        this.now = now;
+    }
+
+    /** Returns a timeline on which nothing is to happen yet. */
+    public static Timeline startingAt(Instant start) {
+        return new Timeline(start);
+    }
+
+    /** Returns the present instant. */
+    public Instant now() {
         return now;
     }
 
-    void after(Duration delay, Runnable action) {
+    /** Lets something happen after a delay. */
+    public void after(Duration delay, Runnable action) {
         entries.add(new Entry(now.plus(delay), sequence++, action));
     }
 
-    void advance(Duration duration) {
+    /** Lets time pass. */
+    public void advance(Duration duration) {
         Instant end = now.plus(duration);
         while (!entries.isEmpty() && !entries.peek().at().isAfter(end)) {
             Entry next = entries.poll();
--- /dev/null
+++ b/dragonflymux-standin/src/main/java/org/dragonflymux/standin/time/package-info.java
@@ -0,0 +1,2 @@
+/** Virtual time for tests and benchmarks. */
+package org.dragonflymux.standin.time;
