Lanes return home; control costs less; what checks nothing waits for steady answers

Change: one lane at a time goes home or to a host with few lanes; grants every 800 ms (200 ms in trouble), polls and gossip every 400 ms, renewals every 600 ms; documents are indexed by type; a unit leaves a target that checks nothing only after the target has answered steadily for a deadline; an answer counts at most four times the mean.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/admission/AdmissionDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/admission/AdmissionDuty.java
@@ -63,6 +63,7 @@
 
     private final HostRecord self;
     private final ConfigurationReplica replica;
+    private final AdmissionPools allPools;
     private final RouteCache routes;
     private final DutyAuthority authority;
     private final Numbers numbers;
@@ -83,6 +84,7 @@
             Listener listener) {
         this.self = self;
         this.replica = replica;
+        this.allPools = AdmissionPools.over(replica);
         this.routes = routes;
         this.authority = authority;
         this.numbers = numbers;
@@ -253,7 +255,7 @@
      */
     public List<LaneReport> reports(boolean all) {
         List<LaneReport> reports = new ArrayList<>();
-        for (AdmissionPool pool : AdmissionPool.all(replica.all(CustomerDocument.class))) {
+        for (AdmissionPool pool : allPools.all()) {
             routes.routes(pool.name())
                     .ifPresent(table -> table.table().lanes().stream()
                             .filter(lane -> self.host().equals(lane.dispatcher()))
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentWriter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentWriter.java
@@ -8,11 +8,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.dragonflymux.core.admission.AdmissionPool;
+import org.dragonflymux.core.admission.AdmissionPools;
 import org.dragonflymux.core.configuration.ConfigurationReplica;
 import org.dragonflymux.core.configuration.StoredEntry;
 import org.dragonflymux.core.document.AssignmentTable;
-import org.dragonflymux.core.document.CustomerDocument;
 import org.dragonflymux.core.document.DocumentCodec;
 import org.dragonflymux.core.document.DocumentKey;
 import org.dragonflymux.core.document.Lane;
@@ -35,7 +34,7 @@
     public static final Duration REVIEW_INTERVAL = Duration.ofMillis(100);
 
     /** How fresh the replica must be for a table to be changed. */
-    public static final Duration FRESH_FOR = Duration.ofMillis(1000);
+    public static final Duration FRESH_FOR = Duration.ofMillis(1500);
 
     private final HostId self;
     private final ConfigurationReplica replica;
@@ -44,6 +43,7 @@
     private final SessionKeeper session;
     private final StoreDesk store;
     private final Outbox outbox;
+    private final AdmissionPools pools;
     private final Set<ServiceName> writing = new HashSet<>();
     private Instant nextReview = Instant.MIN;
     private boolean leaving;
@@ -52,6 +52,7 @@
             ConfigurationReplica replica, AssignmentDuty duty, SessionKeeper session, StoreDesk store, Outbox outbox) {
         this.self = session.record().host();
         this.replica = replica;
+        this.pools = AdmissionPools.over(replica);
         this.duty = duty;
         this.session = session;
         this.store = store;
@@ -65,14 +66,13 @@
     }
 
     /** Returns the services that have tables: the operators' and the admission pools. */
-    public static List<ServiceDocument> services(ConfigurationReplica replica) {
+    private List<ServiceDocument> services() {
         List<ServiceDocument> services = new ArrayList<>(replica.all(ServiceDocument.class));
         int continuityMillis = services.stream()
                 .mapToInt(ServiceDocument::continuityMillis)
                 .max()
                 .orElse(ServiceDocument.DEFAULT_CONTINUITY_MILLIS);
-        AdmissionPool.all(replica.all(CustomerDocument.class))
-                .forEach(pool -> services.add(pool.service(continuityMillis)));
+        pools.all().forEach(pool -> services.add(pool.service(continuityMillis)));
         return services;
     }
 
@@ -87,7 +87,7 @@
         if (!now.isBefore(nextReview)) {
             nextReview = now.plus(REVIEW_INTERVAL);
             duty.observe(now);
-            services(replica).forEach(service -> review(service, now));
+            services().forEach(service -> review(service, now));
         }
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
@@ -68,6 +68,7 @@
         evacuate();
         balanceCounts();
         balanceLoad();
+        balanceDispatchers();
         removeLanes();
         return draft.build();
     }
@@ -143,20 +144,59 @@
     }
 
     private Optional<HostId> chooseDispatcher(TargetId target) {
-        FailureDomain domain =
-                input.service().target(target).map(TargetDeclaration::domain).orElse(null);
-        Map<HostId, Long> lanesByHost = new HashMap<>();
-        draft.lanes.values().stream()
-                .filter(lane -> lane.dispatcher() != null)
-                .forEach(lane -> lanesByHost.merge(lane.dispatcher(), 1L, Long::sum));
+        Map<HostId, Long> lanesByHost = lanesByHost();
         return input.liveHosts().values().stream()
                 .filter(host -> !host.leaving())
-                .min(Comparator.comparing((HostRecord host) -> host.domain().equals(domain) ? 0 : 1)
+                .min(Comparator.comparing((HostRecord host) -> isHome(target, host) ? 0 : 1)
                         .thenComparing(host -> lanesByHost.getOrDefault(host.host(), 0L))
                         .thenComparing(HostRecord::host))
                 .map(HostRecord::host);
     }
 
+    private boolean isHome(TargetId target, HostRecord host) {
+        return input.service()
+                .target(target)
+                .map(TargetDeclaration::domain)
+                .filter(host.domain()::equals)
+                .isPresent();
+    }
+
+    private Map<HostId, Long> lanesByHost() {
+        Map<HostId, Long> lanesByHost = new HashMap<>();
+        draft.lanes.values().stream()
+                .filter(lane -> lane.dispatcher() != null)
+                .forEach(lane -> lanesByHost.merge(lane.dispatcher(), 1L, Long::sum));
+        return lanesByHost;
+    }
+
+    /** Lets one lane at a time go back to its target's failure domain, or from a crowded host to one with few lanes. */
+    private void balanceDispatchers() {
+        boolean settled = draft.moves.isEmpty()
+                && draft.lanes.values().stream().noneMatch(lane -> lane.state() == LaneState.CLOSING);
+        if (settled) {
+            draft.lanes.values().stream()
+                    .filter(lane -> lane.state() == LaneState.OPEN)
+                    .filter(this::betterElsewhere)
+                    .findFirst()
+                    .ifPresent(lane -> draft.lanes.put(lane.target(), lane.withState(LaneState.CLOSING)));
+        }
+    }
+
+    private boolean betterElsewhere(Lane lane) {
+        HostRecord present = input.liveHosts().get(lane.dispatcher());
+        HostRecord best =
+                chooseDispatcher(lane.target()).map(input.liveHosts()::get).orElse(null);
+        if (present == null || best == null) {
+            return false;
+        }
+        boolean presentHome = isHome(lane.target(), present);
+        boolean bestHome = isHome(lane.target(), best);
+        Map<HostId, Long> lanesByHost = lanesByHost();
+        long presentLanes = lanesByHost.getOrDefault(present.host(), 0L);
+        long bestLanes = lanesByHost.getOrDefault(best.host(), 0L);
+        return presentHome == bestHome ? presentLanes > 2 * bestLanes + 2 : bestHome;
+    }
+
     /** Returns the report of a lane under its present fencing token. */
     private Optional<LaneReport> report(Lane lane) {
         return Optional.ofNullable(input.reports().get(lane.target())).filter(found -> found.fence() == lane.fence());
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/configuration/ConfigurationReplica.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/configuration/ConfigurationReplica.java
@@ -31,6 +31,8 @@
 
     private final Map<DocumentKey, StoredEntry> entries = new TreeMap<>();
     private final Map<DocumentKey, Document> documents = new HashMap<>();
+    private final Map<Class<?>, TreeMap<DocumentKey, Document>> byType = new HashMap<>();
+    private final Map<Class<?>, Long> changesByType = new HashMap<>();
     private final Consumer<DocumentKey> changeListener;
     private long revision;
     private Instant confirmedAt = Instant.MIN;
@@ -75,12 +77,23 @@
 
     private void decode(StoredEntry entry) {
         if (entry.deleted()) {
-            documents.remove(entry.key());
+            index(entry.key(), documents.remove(entry.key()), null);
             return;
         }
         Either<List<DocumentError>, Document> decoded = DocumentCodec.fromJson(entry.json());
         // A value that this version cannot read leaves the last readable document in force.
-        decoded.forEach(document -> documents.put(entry.key(), document));
+        decoded.forEach(document -> index(entry.key(), documents.put(entry.key(), document), document));
+    }
+
+    private void index(DocumentKey key, Document before, Document after) {
+        if (before != null) {
+            byType.get(before.getClass()).remove(key);
+            changesByType.merge(before.getClass(), 1L, Long::sum);
+        }
+        if (after != null) {
+            byType.computeIfAbsent(after.getClass(), _ -> new TreeMap<>()).put(key, after);
+            changesByType.merge(after.getClass(), 1L, Long::sum);
+        }
     }
 
     /**
@@ -97,7 +110,8 @@
 
     /** Returns the session keys that are not deleted. */
     public List<DocumentKey> sessionKeys() {
-        return documents.keySet().stream().filter(DocumentKey::isSession).toList();
+        TreeMap<DocumentKey, Document> sessions = byType.get(HostRecord.class);
+        return sessions == null ? List.of() : List.copyOf(sessions.keySet());
     }
 
     /** Notes that at an instant the store held nothing newer than {@link #revision()}. */
@@ -143,13 +157,17 @@
         return Optional.ofNullable(documents.get(key)).filter(type::isInstance).map(type::cast);
     }
 
-    /** Returns all documents of a type. */
+    /** Returns all documents of a type, in the order of their keys. */
     public <T extends Document> List<T> all(Class<T> type) {
-        return documents.values().stream()
-                .filter(type::isInstance)
-                .map(type::cast)
-                .sorted(Comparator.comparing(Document::key))
-                .toList();
+        TreeMap<DocumentKey, Document> found = byType.get(type);
+        return found == null
+                ? List.of()
+                : found.values().stream().map(type::cast).toList();
+    }
+
+    /** Returns a count that changes whenever a document of a type changes. */
+    public long changes(Class<? extends Document> type) {
+        return changesByType.getOrDefault(type, 0L);
     }
 
     /** Returns the record of an entry host whose session is in the store, if any. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/ConcurrencyWindow.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/ConcurrencyWindow.java
@@ -59,7 +59,9 @@
     public void answered(Duration elapsed) {
         double millis = elapsed.toNanos() / 1e6;
         boolean slow = usualMillis > 0 && millis > SLOW_FACTOR * usualMillis;
-        meanMillis = meanMillis == 0 ? millis : meanMillis + MEAN_WEIGHT * (millis - meanMillis);
+        // One answer that was held up for seconds says little about the next; a run of slow ones soon shows.
+        double bounded = meanMillis == 0 ? millis : Math.min(millis, SLOW_FACTOR * meanMillis);
+        meanMillis = meanMillis == 0 ? millis : meanMillis + MEAN_WEIGHT * (bounded - meanMillis);
         usualMillis = usualMillis == 0 ? millis : usualMillis + USUAL_WEIGHT * (millis - usualMillis);
         if (!slow) {
             slowInRow = 0;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/LaneHolder.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/LaneHolder.java
@@ -15,6 +15,7 @@
 import org.dragonflymux.core.assignment.Routes;
 import org.dragonflymux.core.assignment.TargetHealth;
 import org.dragonflymux.core.assignment.UnitLoad;
+import org.dragonflymux.core.document.Fencing;
 import org.dragonflymux.core.document.Lane;
 import org.dragonflymux.core.document.LaneState;
 import org.dragonflymux.core.document.ServiceDocument;
@@ -43,6 +44,7 @@
     private final Map<Integer, Integer> arrivals = new HashMap<>();
     private Routes routes;
     private Lane lane;
+    private final Instant startedAt;
     private Instant loadSince;
     private List<UnitLoad> hottest = List.of();
     private Instant latestSentDeadline;
@@ -52,6 +54,7 @@
         this.service = service;
         this.target = target;
         this.lane = lane;
+        this.startedAt = now;
         this.loadSince = now;
         this.latestSentDeadline = now.plusMillis(service.deadlineMillis());
         this.grants = lane.state() == LaneState.LOST
@@ -216,14 +219,35 @@
         return grants.health(latestSentDeadline, now);
     }
 
+    /** Tells whether nothing that an earlier dispatcher sent can still start. */
+    private boolean predecessorDone(Instant now) {
+        return switch (service.fencing()) {
+            // The target refuses what comes under an earlier token.
+            case CHECKED -> true;
+            case DEADLINE -> !now.isBefore(startedAt.plusMillis(service.deadlineMillis()));
+            case NONE -> answersSteadily(now);
+        };
+    }
+
+    /** Tells whether a request whose end is not known can no longer start. */
+    private boolean done(QueuedRequest request, Instant now) {
+        return service.fencing() == Fencing.NONE ? answersSteadily(now) : !now.isBefore(request.deadline());
+    }
+
+    // A target that checks nothing starts what it had received soon after it answers again.
+    private boolean answersSteadily(Instant now) {
+        Instant since = grants.aliveSince(now);
+        return !since.equals(Instant.MAX) && !now.isBefore(since.plusMillis(service.deadlineMillis()));
+    }
+
     /** Returns what the assigner is to know. */
     LaneReport report(Instant now) {
-        lingering.removeIf(request -> !now.isBefore(request.deadline()));
         List<Long> closedMoves = new ArrayList<>();
+        lingering.removeIf(request -> done(request, now));
         for (UnitMove move : routes.movesFrom(id())) {
             boolean busy = Stream.concat(running.values().stream(), lingering.stream())
                     .anyMatch(request -> routes.unit(request.keyHash()) == move.unit());
-            if (!busy) {
+            if (!busy && predecessorDone(now)) {
                 closedMoves.add(move.ticket());
             }
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gossip/ReplicaSync.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gossip/ReplicaSync.java
@@ -27,16 +27,16 @@
 public final class ReplicaSync {
 
     /** How often the store is polled, by the hosts that poll. */
-    public static final Duration POLL_INTERVAL = Duration.ofMillis(200);
+    public static final Duration POLL_INTERVAL = Duration.ofMillis(400);
 
     /** How often other hosts are asked. */
-    public static final Duration GOSSIP_INTERVAL = Duration.ofMillis(250);
+    public static final Duration GOSSIP_INTERVAL = Duration.ofMillis(400);
 
     /** How many other hosts are asked each time. */
     public static final int FANOUT = 2;
 
     /** Without confirmation for this long, a host polls for itself. */
-    public static final Duration SELF_POLL_AFTER = Duration.ofMillis(1500);
+    public static final Duration SELF_POLL_AFTER = Duration.ofMillis(2000);
 
     private static final int MAX_TELL_CHARACTERS = 256 << 10;
     private static final Duration QUESTION_KEPT = Duration.ofSeconds(30);
@@ -92,9 +92,9 @@
 
     /** Polls the store and asks other hosts when that is due. */
     public void tick(Instant now) {
-        if (!now.isBefore(nextPoll) && !polling && polls(now)) {
+        if (!now.isBefore(nextPoll) && !polling) {
             nextPoll = now.plus(POLL_INTERVAL);
-            poll(now);
+            pollIfPoller(now);
         }
         if (!now.isBefore(nextGossip)) {
             nextGossip = now.plus(GOSSIP_INTERVAL);
@@ -103,6 +103,12 @@
         }
     }
 
+    private void pollIfPoller(Instant now) {
+        if (polls(now)) {
+            poll(now);
+        }
+    }
+
     private boolean polls(Instant now) {
         boolean first = replica.all(HostRecord.class).stream()
                 .filter(host -> host.domain().equals(self.domain()) && !host.leaving())
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/grant/GrantKeeper.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/grant/GrantKeeper.java
@@ -17,11 +17,11 @@
  */
 public final class GrantKeeper {
 
-    /** How often a grant is renewed. */
-    public static final Duration INTERVAL = Duration.ofMillis(400);
+    /** How often a grant is renewed while the target answers. */
+    public static final Duration INTERVAL = Duration.ofMillis(800);
 
     /** How long a grant holds at most. */
-    public static final Duration LENGTH = Duration.ofMillis(1200);
+    public static final Duration LENGTH = Duration.ofMillis(1500);
 
     /** After what silence a target is taken for lost. */
     public static final Duration SILENCE_LIMIT = Duration.ofMillis(1000);
@@ -29,6 +29,8 @@
     /** After how many refused connections in a row a target's process is taken for gone. */
     public static final int REFUSALS_UNTIL_GONE = 2;
 
+    private static final Duration TROUBLED_INTERVAL = Duration.ofMillis(200);
+    private static final Duration ALIVE_GAP = Duration.ofMillis(2000);
     private static final Duration HURRY_INTERVAL = Duration.ofMillis(20);
     private static final Duration DRIFT_MARGIN = Duration.ofMillis(50);
 
@@ -53,6 +55,7 @@
     private Instant usableUntil = Instant.MIN;
     private Instant lapsedAt = Instant.MIN;
     private Instant lastAlive = Instant.MIN;
+    private Instant aliveSince = Instant.MAX;
     private int refusalsInRow;
     private int silencesInRow;
     private boolean leaving;
@@ -83,7 +86,9 @@
      * @param authorityUntil until when the dispatcher itself may act
      */
     public Optional<Grant> due(long number, Instant authorityUntil, Instant now) {
-        boolean waiting = sent != null && now.isBefore(sent.at().plus(INTERVAL));
+        boolean troubled = refusalsInRow + silencesInRow > 0 || lastAlive.equals(Instant.MIN);
+        Duration interval = troubled ? TROUBLED_INTERVAL : INTERVAL;
+        boolean waiting = sent != null && now.isBefore(sent.at().plus(interval));
         if (waiting || abandoned) {
             return Optional.empty();
         }
@@ -145,6 +150,8 @@
 
     /** Takes in that a request was answered, which shows that the target lives. */
     public void alive(Instant now) {
+        boolean gap = lastAlive.equals(Instant.MIN) || lastAlive.plus(ALIVE_GAP).isBefore(now);
+        aliveSince = gap ? now : aliveSince;
         lastAlive = now;
         refusalsInRow = 0;
         silencesInRow = 0;
@@ -161,6 +168,13 @@
         refusalsInRow++;
     }
 
+    /** Returns since when the target has answered without a longer gap, or {@link Instant#MAX} when it does not. */
+    public Instant aliveSince(Instant now) {
+        boolean answers =
+                !lastAlive.equals(Instant.MIN) && !lastAlive.plus(ALIVE_GAP).isBefore(now);
+        return answers ? aliveSince : Instant.MAX;
+    }
+
     /** Returns whether the target was restarted since the last call. */
     public boolean takeRestarted() {
         boolean restarted = bootChanged;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/session/SessionKeeper.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/session/SessionKeeper.java
@@ -14,7 +14,7 @@
 public final class SessionKeeper {
 
     /** How often the session is renewed. */
-    public static final Duration RENEWAL_INTERVAL = Duration.ofMillis(500);
+    public static final Duration RENEWAL_INTERVAL = Duration.ofMillis(600);
 
     private final HostAuthority authority;
     private final StoreDesk store;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/session/StoreDesk.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/session/StoreDesk.java
@@ -15,7 +15,7 @@
 public final class StoreDesk {
 
     /** For how long a last answer shows that the store can be reached. */
-    public static final Duration REACHABLE_FOR = Duration.ofMillis(900);
+    public static final Duration REACHABLE_FOR = Duration.ofMillis(1000);
 
     /** Takes in the reply to one call. */
     @FunctionalInterface
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/assignment/TablePlannerTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/assignment/TablePlannerTest.java
@@ -200,4 +200,29 @@
         report(lane(closing, "t2"), TargetHealth.READY, true);
         assertThat(lane(TablePlanner.next(input(), closing), "t2").dispatcher()).isEqualTo(HostId.of("b2"));
     }
+
+    @Nested
+    class AHostThatReturns {
+
+        @Test
+        void getsTheLanesOfItsDomainBackOneByOne() {
+            AssignmentTable table = settled();
+            hosts.remove(HostId.of("b1"));
+            AssignmentTable without = TablePlanner.next(input(), table);
+            assertThat(lane(without, "t2").dispatcher()).isEqualTo(HostId.of("a1"));
+            without.lanes().forEach(lane -> report(lane, TargetHealth.READY, false));
+            host("b2", "b");
+            AssignmentTable closing = TablePlanner.next(input(), without);
+            assertThat(closing.lanes())
+                    .filteredOn(lane -> lane.state() == LaneState.CLOSING)
+                    .hasSize(1);
+            Lane given = closing.lanes().stream()
+                    .filter(lane -> lane.state() == LaneState.CLOSING)
+                    .findFirst()
+                    .orElseThrow();
+            report(given, TargetHealth.READY, true);
+            AssignmentTable next = TablePlanner.next(input(), closing);
+            assertThat(lane(next, given.target().value()).dispatcher()).isEqualTo(HostId.of("b2"));
+        }
+    }
 }
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/AdminServer.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/AdminServer.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.time.Instant;
-import org.dragonflymux.core.assignment.AssignmentWriter;
 import org.dragonflymux.core.document.ServiceDocument;
 import org.dragonflymux.core.host.EntryHost;
 import org.dragonflymux.core.message.Event;
@@ -68,7 +67,7 @@
         ObjectNode load = state.putObject("load");
         host.load().forEach(load::put);
         ObjectNode authority = state.putObject("authority-millis");
-        for (ServiceDocument service : AssignmentWriter.services(host.replica())) {
+        for (ServiceDocument service : host.replica().all(ServiceDocument.class)) {
             Instant until = host.authorityUntil(service.name());
             long millis = until.isAfter(now) ? until.toEpochMilli() - now.toEpochMilli() : 0;
             authority.put(service.name().value(), millis);
