--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/AssignmentDuty.java
@@ -33,10 +33,13 @@
  */
 public final class AssignmentDuty {
 
+    private record SettledPlan(AssignmentTable table, PlanInput input) {}
+
     private final HostId self;
     private final ConfigurationReplica replica;
     private final Map<ServiceName, Map<TargetId, LaneReport>> reports = new HashMap<>();
     private final Map<HostId, Instant> absentSince = new HashMap<>();
+    private final Map<ServiceName, SettledPlan> settledPlans = new HashMap<>();
     private Instant watchingSince = Instant.MAX;
 
     private AssignmentDuty(HostId self, ConfigurationReplica replica) {
@@ -108,13 +111,29 @@
         if (!mayWrite(table.get(), live, service.home(), now)) {
             return Optional.empty();
         }
-        AssignmentTable next = TablePlanner.next(input(service, live), table.get());
+        PlanInput input = input(service, live);
+        if (!leaving && settled(table.get(), input)) {
+            return Optional.empty();
+        }
+        AssignmentTable next = TablePlanner.next(input, table.get());
         boolean handOver = leaving || isAway(service, live, next);
         boolean standbyLive = next.standby() != null && live.containsKey(next.standby());
         if (next.equals(table.get()) && handOver && standbyLive) {
             next = TablePlanner.handOver(next);
         }
-        return next.equals(table.get()) ? Optional.empty() : Optional.of(next);
+        boolean same = next.equals(table.get());
+        if (same) {
+            settledPlans.put(service.name(), new SettledPlan(table.get(), input));
+        }
+        return same ? Optional.empty() : Optional.of(next);
+    }
+
+    /** Tells whether a plan from the same table and input came to the same table before. */
+    private boolean settled(AssignmentTable table, PlanInput input) {
+        SettledPlan settled = settledPlans.get(table.service());
+        return settled != null
+                && settled.table().equals(table)
+                && settled.input().equals(input);
     }
 
     /** Tells whether a service's home has a standby while this host is assigner from outside. */
@@ -184,6 +203,6 @@
                         .map(TargetIntent::target)
                         .collect(Collectors.toSet()),
                 pins,
-                reports.getOrDefault(name, Map.of()));
+                Map.copyOf(reports.getOrDefault(name, Map.of())));
     }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TableDraft.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TableDraft.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.core.assignment;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,13 +76,18 @@
         moves.put(unit, new UnitMove(unit, to, nextFence++));
     }
 
-    int unitsOf(TargetId target) {
-        int units = 0;
+    /** Returns how many units each target owns, or will once its moves commit. */
+    Map<TargetId, Integer> unitCounts() {
+        Map<TargetId, Integer> counts = new HashMap<>();
+        lanes.keySet().forEach(target -> counts.put(target, 0));
         for (int unit = 0; unit < owners.size(); unit++) {
-            TargetId owner = moves.containsKey(unit) ? moves.get(unit).to() : owners.get(unit);
-            units += target.equals(owner) ? 1 : 0;
+            UnitMove move = moves.get(unit);
+            TargetId owner = move == null ? owners.get(unit) : move.to();
+            if (owner != null) {
+                counts.merge(owner, 1, Integer::sum);
+            }
         }
-        return units;
+        return counts;
     }
 
     boolean ownsAny(TargetId target) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
@@ -257,12 +257,6 @@
         return (double) units.get(target) / slots;
     }
 
-    private Map<TargetId, Integer> unitCounts() {
-        Map<TargetId, Integer> units = new HashMap<>();
-        draft.lanes.keySet().forEach(target -> units.put(target, draft.unitsOf(target)));
-        return units;
-    }
-
     private Optional<TargetId> emptiest(List<TargetId> targets, Map<TargetId, Integer> units) {
         return targets.stream()
                 .min(Comparator.comparingDouble((TargetId target) -> fill(target, units))
@@ -271,7 +265,7 @@
 
     private void placeOrphans() {
         List<TargetId> targets = eligibleTargets();
-        Map<TargetId, Integer> units = unitCounts();
+        Map<TargetId, Integer> units = draft.unitCounts();
         for (int unit = 0; unit < draft.owners.size(); unit++) {
             if (draft.owners.get(unit) == null) {
                 Optional<TargetId> owner = emptiest(targets, units);
@@ -312,7 +306,7 @@
 
     private void evacuate() {
         List<TargetId> targets = eligibleTargets();
-        Map<TargetId, Integer> units = unitCounts();
+        Map<TargetId, Integer> units = draft.unitCounts();
         for (int unit = 0; unit < draft.owners.size() && draft.moves.size() < MAX_EVACUATING_UNITS; unit++) {
             TargetId owner = draft.owners.get(unit);
             boolean leaving =
@@ -331,7 +325,7 @@
 
     private void balanceCounts() {
         List<TargetId> targets = eligibleTargets();
-        Map<TargetId, Integer> units = unitCounts();
+        Map<TargetId, Integer> units = draft.unitCounts();
         while (targets.size() > 1 && draft.moves.size() < MAX_BALANCING_UNITS) {
             TargetId to = emptiest(targets, units).orElseThrow();
             TargetId from = targets.stream()
