A grant outlasts two intervals, so that no request waits for the next one

Cause: bin/measure-load showed a p99 of 165 to 185 ms through an entry host, up from 3 to 47 ms. A grant ends 1,500 ms after the reading of the target's clock that came with the grant before; at an interval of 800 ms it ended about 100 ms before the next one began. Ruled out: the loan of tokens (its time-out of 150 ms looked alike, but the stalls came every 800 ms) and the collector. Change: a grant holds for 1,800 ms. Conclusion: any change of an interval is measured under load, not only counted in bytes.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/grant/GrantKeeper.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/grant/GrantKeeper.java
@@ -20,8 +20,12 @@
     /** How often a grant is renewed while the target answers. */
     public static final Duration INTERVAL = Duration.ofMillis(800);
 
-    /** How long a grant holds at most. */
-    public static final Duration LENGTH = Duration.ofMillis(1500);
+    /**
+     * How long a grant holds at most, counted from the reading of the target's clock.
+     *
+     * <p>The reading came with the grant before, so that this must exceed two intervals.
+     */
+    public static final Duration LENGTH = Duration.ofMillis(1800);
 
     /** After what silence a target is taken for lost. */
     public static final Duration SILENCE_LIMIT = Duration.ofMillis(1000);
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/CallerSteps.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/CallerSteps.java
@@ -46,6 +46,14 @@
                 .isEmpty();
     }
 
+    @Then("every request of the last {int} seconds was answered within {int} milliseconds")
+    public void answeredWithin(int seconds, int millis) {
+        Instant to = world.fleet.now().minusMillis(millis);
+        Instant from = world.fleet.now().minusSeconds(seconds);
+        assertThat(world.load.unservedBetween(from, to, Duration.ofMillis(millis)))
+                .isEmpty();
+    }
+
     @Then("no request is served any more after {int} seconds")
     public void servedNoMore(int seconds) {
         Instant from = world.mark.plusSeconds(seconds);
