--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/document/DocumentCodec.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/document/DocumentCodec.java
@@ -54,7 +54,7 @@
 
     /** Reads and checks a document from YAML as kept in version control. */
     public static Either<List<DocumentError>, Document> fromYaml(String text) {
-        return read(YAML, text).flatMap(document -> checked(document, text));
+        return read(YAML, text).flatMap(DocumentCodec::checked).mapLeft(errors -> located(errors, text));
     }
 
     private static Either<List<DocumentError>, Document> read(ObjectMapper mapper, String text) {
@@ -68,12 +68,17 @@
         }
     }
 
-    private static Either<List<DocumentError>, Document> checked(Document document, String text) {
+    private static Either<List<DocumentError>, Document> checked(Document document) {
+        List<DocumentError> errors = DocumentRules.check(document);
+        return errors.isEmpty() ? Either.right(document) : Either.left(errors);
+    }
+
+    private static List<DocumentError> located(List<DocumentError> errors, String text) {
         Map<String, Integer> lines = lines(text);
-        List<DocumentError> errors = DocumentRules.check(document).stream()
-                .map(error -> new DocumentError(error.path(), lines.getOrDefault(error.path(), 0), error.expected()))
+        return errors.stream()
+                .map(error -> new DocumentError(
+                        error.path(), lines.getOrDefault(error.path(), error.line()), error.expected()))
                 .toList();
-        return errors.isEmpty() ? Either.right(document) : Either.left(errors);
     }
 
     private static Map<String, Integer> lines(String text) {
--- /dev/null
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/idempotency/IdempotencyMemoryTest.java
@@ -0,0 +1,119 @@
+package org.dragonflymux.core.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.UUID;
+import org.dragonflymux.core.message.Outcome;
+import org.dragonflymux.core.message.RefusalReason;
+import org.dragonflymux.core.message.UnknownReason;
+import org.dragonflymux.core.name.CustomerName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class IdempotencyMemoryTest {
+
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Instant LONG_AGO = NOW.minus(Duration.ofDays(1));
+    private static final CustomerName CUSTOMER = CustomerName.of("acme");
+
+    private final IdempotencyMemory memory = IdempotencyMemory.empty();
+
+    private static String text(Instant madeAt) {
+        return new UUID(madeAt.toEpochMilli() << 16 | 0x7001, 0x8000000000000001L).toString();
+    }
+
+    private static IdempotencyKey key(Instant madeAt) {
+        return IdempotencyKey.parse(text(madeAt), madeAt).get();
+    }
+
+    @Nested
+    class AKey {
+
+        @Test
+        void isAUuidOfVersionSeven() {
+            assertThat(IdempotencyKey.parse(null, NOW).getLeft()).isEqualTo(RefusalReason.IDEMPOTENCY_KEY_MISSING);
+            assertThat(IdempotencyKey.parse("1-2-3-4-5", NOW).getLeft())
+                    .isEqualTo(RefusalReason.IDEMPOTENCY_KEY_MALFORMED);
+            assertThat(IdempotencyKey.parse("123e4567-e89b-42d3-a456-426614174000", NOW)
+                            .getLeft())
+                    .isEqualTo(RefusalReason.IDEMPOTENCY_KEY_MALFORMED);
+            assertThat(IdempotencyKey.parse(text(NOW), NOW).get().madeAt()).isEqualTo(NOW);
+        }
+
+        @Test
+        void fromTheFutureIsRefused() {
+            assertThat(IdempotencyKey.parse(text(NOW.plusSeconds(2)), NOW).getLeft())
+                    .isEqualTo(RefusalReason.IDEMPOTENCY_KEY_AHEAD);
+        }
+    }
+
+    @Nested
+    class ARepeat {
+
+        @Test
+        void isToldThatTheFirstStillRuns() {
+            assertThat(memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW)).isEmpty();
+            assertThat(memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW))
+                    .contains(new Outcome.Unknown(UnknownReason.STILL_RUNNING));
+        }
+
+        @Test
+        void getsTheFirstAnswer() {
+            Outcome answer = new Outcome.Answered(201, List.of(), new byte[] {1});
+            memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW);
+            memory.settle(CUSTOMER, key(NOW), answer);
+            assertThat(memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW)).contains(answer);
+        }
+
+        @Test
+        void isToldThatItRanWhenTheAnswerIsTooLargeToKeep() {
+            memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW);
+            memory.settle(CUSTOMER, key(NOW), new Outcome.Answered(201, List.of(), new byte[1 << 20]));
+            assertThat(memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW)).contains(new Outcome.AlreadyRan(201));
+        }
+
+        @Test
+        void mayRunWhenTheFirstWasNotSent() {
+            memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW);
+            memory.release(CUSTOMER, key(NOW));
+            assertThat(memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW)).isEmpty();
+        }
+
+        @Test
+        void ofAnotherCustomerIsAnother() {
+            memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW);
+            assertThat(memory.claim(CustomerName.of("other"), key(NOW), LONG_AGO, NOW))
+                    .isEmpty();
+        }
+    }
+
+    @Nested
+    class WhatAnEarlierDispatcherMayHaveRun {
+
+        @Test
+        void isNeverRun() {
+            assertThat(memory.claim(CUSTOMER, key(NOW), NOW, NOW))
+                    .contains(new Outcome.Unknown(UnknownReason.NOT_REMEMBERED));
+            Instant later = NOW.plusSeconds(3);
+            assertThat(memory.claim(CUSTOMER, key(later), NOW, later)).isEmpty();
+        }
+
+        @Test
+        void includesAllOlderThanTheRetention() {
+            Instant old = NOW.minus(IdempotencyMemory.RETENTION).minusSeconds(1);
+            assertThat(memory.claim(CUSTOMER, key(old), LONG_AGO, NOW))
+                    .contains(new Outcome.Unknown(UnknownReason.NOT_REMEMBERED));
+        }
+    }
+
+    @Test
+    void forgetsWhatNoRepeatCanAskFor() {
+        memory.claim(CUSTOMER, key(NOW), LONG_AGO, NOW);
+        Instant later = NOW.plus(IdempotencyMemory.RETENTION.multipliedBy(2));
+        memory.claim(CUSTOMER, key(later), LONG_AGO, later);
+        assertThat(memory.size()).isEqualTo(1);
+    }
+}
