Dispatch: submissions and crash evidence are modules of their own

Change: Submissions gives each request exactly one truthful outcome; CrashEvidence keeps broken requests until a grant's reply tells whether the target crashed. Behaviour as it was. Conclusion: DispatchDuty keeps lanes and attempts only.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -50,9 +49,6 @@
  */
 public final class DispatchDuty {
 
-    /** How long to wait for evidence whether a target crashed under a request. */
-    public static final Duration CRASH_EVIDENCE_TIMEOUT = Duration.ofMillis(600);
-
     private static final Duration MIN_FIRST_ATTEMPT = Duration.ofMillis(300);
     private static final int FIRST_ATTEMPT_FACTOR = 10;
 
@@ -64,28 +60,8 @@
         void settled(Outcome outcome, Instant now);
     }
 
-    private record LaneKey(ServiceName service, TargetId target) {}
-
-    private record Submission(
-            OutcomeHandler handler, Optional<IdempotencyKey> idempotencyKey, int attempts, boolean mayHaveRun) {
-
-        static Submission of(OutcomeHandler handler, Optional<IdempotencyKey> idempotencyKey) {
-            return new Submission(handler, idempotencyKey, 0, false);
-        }
-
-        Submission withAttempt() {
-            return new Submission(handler, idempotencyKey, attempts + 1, mayHaveRun);
-        }
-
-        Submission uncertain() {
-            return new Submission(handler, idempotencyKey, attempts, true);
-        }
-    }
-
     private record Attempt(LaneHolder holder, QueuedRequest request, Instant sentAt) {}
 
-    private record Suspicion(QueuedRequest request, Instant brokenAt) {}
-
     private final HostId self;
     private final ConfigurationReplica replica;
     private final RouteCache routes;
@@ -95,9 +71,9 @@
     private final Outbox outbox;
     private final IdempotencyMemory memory = IdempotencyMemory.empty();
     private final Map<LaneKey, LaneHolder> lanes = new LinkedHashMap<>();
-    private final Map<Long, Submission> submissions = new HashMap<>();
+    private final Submissions submissions = Submissions.rememberedIn(memory);
     private final Map<Long, Attempt> attempts = new HashMap<>();
-    private final Map<LaneKey, List<Suspicion>> suspicions = new HashMap<>();
+    private final CrashEvidence crashEvidence = CrashEvidence.none();
     private final Map<LaneKey, LaneReport> lastReports = new HashMap<>();
 
     private DispatchDuty(
@@ -149,7 +125,7 @@
             }
             if (held != null) {
                 held.follow(table.get(), lane, now);
-                refuseAll(held.evictForeign(), RefusalReason.NOT_DISPATCHER, now);
+                submissions.refuseAll(held.evictForeign(), RefusalReason.NOT_DISPATCHER, now);
             }
         }
         dropRemovedLanes(service, table.get(), now);
@@ -169,7 +145,7 @@
     private void giveUp(LaneKey key, LaneHolder holder, Instant now) {
         lanes.remove(key);
         lastReports.remove(key);
-        refuseAll(holder.evict(request -> true), RefusalReason.NOT_DISPATCHER, now);
+        submissions.refuseAll(holder.evict(request -> true), RefusalReason.NOT_DISPATCHER, now);
         noteHeld(key, holder, false);
     }
 
@@ -267,8 +243,8 @@
                 return;
             }
         }
-        submissions.put(request.id(), Submission.of(handler, key));
-        holder.enqueue(request, now).ifPresent(dropped -> refuse(dropped, RefusalReason.QUEUE_FULL, now));
+        submissions.add(request, handler, key);
+        holder.enqueue(request, now).ifPresent(dropped -> submissions.refuse(dropped, RefusalReason.QUEUE_FULL, now));
         pump(holder, now);
     }
 
@@ -285,11 +261,11 @@
 
     private void send(LaneHolder holder, QueuedRequest request, Instant now) {
         if (!now.isBefore(request.deadline())) {
-            refuse(request, RefusalReason.DEADLINE_TOO_SHORT, now);
+            submissions.refuse(request, RefusalReason.DEADLINE_TOO_SHORT, now);
             return;
         }
         long attempt = numbers.next();
-        Submission submission = submissions.compute(request.id(), (id, known) -> known.withAttempt());
+        submissions.attemptStarted(request);
         holder.started(attempt, request);
         attempts.put(attempt, new Attempt(holder, request, now));
         outbox.add(new Effect.CallTarget(
@@ -298,22 +274,20 @@
                 holder.fence(),
                 request.request(),
                 request.deadline(),
-                attemptTimeout(holder, request, submission, now),
+                attemptTimeout(holder, request, now),
                 holder.service().maxAnswerBytes(),
-                freshConnection(holder, request, submission, now)));
+                freshConnection(holder, request, now)));
     }
 
     // An open connection may be lost in the very moment of sending; only a request that may be repeated takes the risk.
-    private static boolean freshConnection(
-            LaneHolder holder, QueuedRequest request, Submission submission, Instant now) {
-        return !request.repeatable() || submission.attempts() > 1 || holder.freshConnectionsOnly(now);
+    private boolean freshConnection(LaneHolder holder, QueuedRequest request, Instant now) {
+        return !request.repeatable() || submissions.attempts(request) > 1 || holder.freshConnectionsOnly(now);
     }
 
     // A repeatable request leaves time for a second attempt, since its connection may have gone silent.
-    private static Duration attemptTimeout(
-            LaneHolder holder, QueuedRequest request, Submission submission, Instant now) {
+    private Duration attemptTimeout(LaneHolder holder, QueuedRequest request, Instant now) {
         Duration remaining = Duration.between(now, request.deadline());
-        if (!request.repeatable() || submission.attempts() > 1) {
+        if (!request.repeatable() || submissions.attempts(request) > 1) {
             return remaining;
         }
         Duration usual = holder.window().meanTime().multipliedBy(FIRST_ATTEMPT_FACTOR);
@@ -332,7 +306,7 @@
         boolean certain = !(result instanceof TargetResult.Broken || result instanceof TargetResult.TimedOut);
         holder.ended(attempt, certain);
         if (!certain) {
-            submissions.computeIfPresent(sent.request().id(), (_, submission) -> submission.uncertain());
+            submissions.attemptLost(sent.request());
         }
         ended(holder, sent.request(), result, Duration.between(sent.sentAt(), now), now);
         pump(holder, now);
@@ -353,7 +327,7 @@
                 holder.grants().alive(now);
                 holder.window().answered(elapsed);
                 crashGuard.survived(request.fingerprint(), now);
-                settle(request, completed.answer(), now);
+                submissions.settle(request, completed.answer(), now);
             }
             case TargetResult.Declined declined -> declined(holder, request, declined.reason(), now);
             case TargetResult.NotSent notSent -> {
@@ -361,13 +335,13 @@
                     holder.grants().refused();
                 }
                 holder.grants().hurry(now);
-                refuse(request, RefusalReason.UNREACHABLE, now);
+                submissions.refuse(request, RefusalReason.UNREACHABLE, now);
             }
             case TargetResult.Broken _ -> broken(holder, request, now);
             case TargetResult.TimedOut _ -> timedOut(holder, request, now);
             case TargetResult.TooLarge _ -> {
                 holder.grants().alive(now);
-                settle(request, new Outcome.Unknown(UnknownReason.ANSWER_INCOMPLETE), now);
+                submissions.settle(request, new Outcome.Unknown(UnknownReason.ANSWER_INCOMPLETE), now);
             }
         }
     }
@@ -378,18 +352,18 @@
         switch (reason) {
             case SHED -> {
                 holder.window().shrink();
-                refuse(request, RefusalReason.TARGET_SHED, now);
+                submissions.refuse(request, RefusalReason.TARGET_SHED, now);
             }
-            case EXPIRED -> refuse(request, RefusalReason.DEADLINE_TOO_SHORT, now);
-            case FENCED, LEAVING -> refuse(request, RefusalReason.UNREACHABLE, now);
+            case EXPIRED -> submissions.refuse(request, RefusalReason.DEADLINE_TOO_SHORT, now);
+            case FENCED, LEAVING -> submissions.refuse(request, RefusalReason.UNREACHABLE, now);
         }
     }
 
     private void broken(LaneHolder holder, QueuedRequest request, Instant now) {
         holder.grants().hurry(now);
-        suspicions.computeIfAbsent(keyOf(holder), lane -> new ArrayList<>()).add(new Suspicion(request, now));
+        crashEvidence.broken(keyOf(holder), request, now);
         if (!request.repeatable()) {
-            settle(request, new Outcome.Unknown(UnknownReason.TARGET_LOST), now);
+            submissions.settle(request, new Outcome.Unknown(UnknownReason.TARGET_LOST), now);
         }
     }
 
@@ -403,7 +377,7 @@
             holder.window().shrink();
         }
         boolean again = request.repeatable()
-                && submissions.get(request.id()).attempts() == 1
+                && submissions.attempts(request) == 1
                 && held(holder)
                 && holder.grants().usable(now);
         if (again) {
@@ -412,13 +386,13 @@
         } else {
             boolean passed = !now.isBefore(request.deadline());
             UnknownReason reason = passed ? UnknownReason.DEADLINE_PASSED : UnknownReason.TARGET_LOST;
-            settle(request, new Outcome.Unknown(reason), now);
+            submissions.settle(request, new Outcome.Unknown(reason), now);
         }
     }
 
     private void requeue(LaneHolder holder, QueuedRequest request, Instant now) {
         holder.enqueue(request, now)
-                .ifPresent(dropped -> settle(dropped, new Outcome.Unknown(UnknownReason.TARGET_LOST), now));
+                .ifPresent(dropped -> submissions.settle(dropped, new Outcome.Unknown(UnknownReason.TARGET_LOST), now));
     }
 
     /** Takes in the reply to a grant. */
@@ -433,78 +407,42 @@
         if (restarted) {
             holder.window().restart();
         }
-        boolean crashed = restarted || reply instanceof GrantReply.Refused;
-        boolean survived = reply instanceof GrantReply.Held && !restarted;
-        if (crashed || survived) {
-            resolveSuspicions(key, holder, crashed, now);
+        boolean crashed = CrashEvidence.showsCrash(reply, restarted);
+        if (crashed || CrashEvidence.showsLife(reply, restarted)) {
+            crashEvidence.take(key).forEach(request -> resolve(holder, request, crashed, now));
         }
         pump(holder, now);
     }
 
-    private void resolveSuspicions(LaneKey key, LaneHolder holder, boolean crashed, Instant now) {
-        List<Suspicion> open = suspicions.remove(key);
-        if (open == null) {
-            return;
-        }
-        for (Suspicion suspicion : open) {
-            QueuedRequest request = suspicion.request();
-            if (crashed) {
-                crashGuard.crashed(request.fingerprint(), now);
-            }
-            if (!submissions.containsKey(request.id())) {
-                continue;
-            }
-            boolean again =
-                    !crashed && held(holder) && submissions.get(request.id()).attempts() == 1;
-            if (again) {
-                outbox.note(new Observation.Retried(holder.service().name()));
-                requeue(holder, request, now);
-            } else {
-                settle(request, new Outcome.Unknown(UnknownReason.TARGET_LOST), now);
-            }
+    private void resolve(LaneHolder holder, QueuedRequest request, boolean crashed, Instant now) {
+        if (crashed) {
+            crashGuard.crashed(request.fingerprint(), now);
         }
-    }
-
-    private void settle(QueuedRequest request, Outcome outcome, Instant now) {
-        Submission submission = submissions.remove(request.id());
-        if (submission == null) {
-            return;
+        boolean again = !crashed && submissions.contains(request) && held(holder) && submissions.attempts(request) == 1;
+        if (again) {
+            outbox.note(new Observation.Retried(holder.service().name()));
+            requeue(holder, request, now);
+        } else {
+            submissions.settle(request, new Outcome.Unknown(UnknownReason.TARGET_LOST), now);
         }
-        submission.idempotencyKey().ifPresent(key -> {
-            if (outcome instanceof Outcome.Refused) {
-                memory.release(request.request().customer(), key);
-            } else {
-                memory.settle(request.request().customer(), key, outcome);
-            }
-        });
-        submission.handler().settled(outcome, now);
-    }
-
-    private void refuse(QueuedRequest request, RefusalReason reason, Instant now) {
-        Submission submission = submissions.get(request.id());
-        // After an attempt whose end is not known, a refusal of the next attempt does not mean that nothing ran.
-        boolean mayHaveRun = submission != null && submission.mayHaveRun();
-        settle(request, mayHaveRun ? new Outcome.Unknown(UnknownReason.TARGET_LOST) : Outcome.Refused.of(reason), now);
     }
 
     private static void refuse(OutcomeHandler handler, RefusalReason reason, Instant now) {
         handler.settled(Outcome.Refused.of(reason), now);
     }
 
-    private void refuseAll(Collection<QueuedRequest> requests, RefusalReason reason, Instant now) {
-        requests.forEach(request -> refuse(request, reason, now));
-    }
-
     /** Sends grants that are due, drops requests whose deadline passed, and settles what has waited for evidence. */
     public void tick(Instant now) {
         for (LaneHolder holder : List.copyOf(lanes.values())) {
             Instant until = authority.until(holder.service().name());
             holder.grants().due(numbers.next(), until, now).ifPresent(grant -> outbox.add(grantEffect(holder, grant)));
-            refuseAll(
+            submissions.refuseAll(
                     holder.evict(request -> !now.isBefore(request.deadline())), RefusalReason.DEADLINE_TOO_SHORT, now);
             pump(holder, now);
         }
-        settleOldSuspicions(now);
+        crashEvidence
+                .takeOverdue(now)
+                .forEach(request -> submissions.settle(request, new Outcome.Unknown(UnknownReason.TARGET_LOST), now));
     }
 
     private static Effect grantEffect(LaneHolder holder, GrantKeeper.Grant grant) {
@@ -518,20 +456,6 @@
                 grant.validUntilMillis());
     }
 
-    private void settleOldSuspicions(Instant now) {
-        for (LaneKey key : List.copyOf(suspicions.keySet())) {
-            List<Suspicion> open = suspicions.get(key);
-            open.stream()
-                    .filter(suspicion -> !now.isBefore(suspicion.brokenAt().plus(CRASH_EVIDENCE_TIMEOUT)))
-                    .forEach(suspicion ->
-                            settle(suspicion.request(), new Outcome.Unknown(UnknownReason.TARGET_LOST), now));
-            open.removeIf(suspicion -> !now.isBefore(suspicion.brokenAt().plus(CRASH_EVIDENCE_TIMEOUT)));
-            if (open.isEmpty()) {
-                suspicions.remove(key);
-            }
-        }
-    }
-
     /**
      * Returns the reports on this host's lanes that the assigners are to get.
      *
