--- /dev/null
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/dispatch/DispatchDutyTest.java
@@ -0,0 +1,137 @@
+package org.dragonflymux.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.dragonflymux.core.configuration.ConfigurationReplica;
+import org.dragonflymux.core.configuration.StoredEntry;
+import org.dragonflymux.core.document.AssignmentTable;
+import org.dragonflymux.core.document.Document;
+import org.dragonflymux.core.document.DocumentCodec;
+import org.dragonflymux.core.document.Fencing;
+import org.dragonflymux.core.document.HostRecord;
+import org.dragonflymux.core.document.Lane;
+import org.dragonflymux.core.document.LaneState;
+import org.dragonflymux.core.document.ServiceDocument;
+import org.dragonflymux.core.document.TargetDeclaration;
+import org.dragonflymux.core.message.Effect;
+import org.dragonflymux.core.message.GrantReply;
+import org.dragonflymux.core.message.Numbers;
+import org.dragonflymux.core.message.Outbox;
+import org.dragonflymux.core.message.Outcome;
+import org.dragonflymux.core.message.RefusalReason;
+import org.dragonflymux.core.message.ServiceRequest;
+import org.dragonflymux.core.message.StoreReply;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.quarantine.CrashGuard;
+import org.dragonflymux.core.session.DutyAuthority;
+import org.dragonflymux.core.session.HostAuthority;
+import org.dragonflymux.core.session.SessionKeeper;
+import org.dragonflymux.core.session.StoreDesk;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DispatchDutyTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final ServiceName SERVICE = ServiceName.of("svc");
+    private static final TargetId TARGET = TargetId.of("t1");
+    private static final HostRecord SELF =
+            new HostRecord(HostId.of("h1"), FailureDomain.of("a"), "127.0.0.1:1", 1, false);
+
+    private final Numbers numbers = Numbers.fromOne();
+    private final Outbox outbox = Outbox.empty();
+    private final ConfigurationReplica replica = ConfigurationReplica.empty(_ -> {});
+    private final StoreDesk store = StoreDesk.of(numbers, outbox);
+    private final HostAuthority hostAuthority = HostAuthority.none();
+    private final SessionKeeper session = SessionKeeper.of(SELF, hostAuthority, store, outbox);
+    private final DutyAuthority authority = DutyAuthority.of(replica, hostAuthority, session, numbers, outbox);
+    private final DispatchDuty duty = DispatchDuty.of(
+            SELF.host(), replica, RouteCache.over(replica), authority, CrashGuard.empty(), numbers, outbox);
+    private final List<Outcome> outcomes = new ArrayList<>();
+
+    @BeforeEach
+    void assignTheOnlyLaneToThisHost() {
+        TargetDeclaration target = new TargetDeclaration(TARGET, SELF.domain(), "127.0.0.1:2", 3);
+        put(new ServiceDocument(SERVICE, 1, Fencing.NONE, null, 5000, 0, 0, 0, null, List.of(target)), 1);
+        put(
+                new AssignmentTable(
+                        SERVICE,
+                        1,
+                        SELF.host(),
+                        null,
+                        0,
+                        9,
+                        1,
+                        List.of(),
+                        List.of(new Lane(TARGET, SELF.host(), 1, LaneState.OPEN)),
+                        List.of(0),
+                        List.of()),
+                2);
+        duty.follow(SERVICE, START);
+        duty.tick(START);
+        duty.grantReplied(SERVICE, TARGET, 0, new GrantReply.Held(true, "boot", 1, false), START);
+        outbox.drain();
+    }
+
+    private void put(Document document, long revision) {
+        replica.merge(
+                List.of(new StoredEntry(document.key(), revision, DocumentCodec.toJson(document))),
+                revision - 1,
+                revision);
+    }
+
+    /** Opens and renews the session, as the store's answers do. */
+    private void openSession(long sessionRevision) {
+        session.tick(START);
+        store.replied(call(), new StoreReply.LeaseGranted(1), START);
+        store.replied(call(), new StoreReply.Written(sessionRevision), START);
+        session.tick(START);
+        store.replied(call(), new StoreReply.LeaseRenewed(true), START);
+    }
+
+    private long call() {
+        return outbox.drain().stream()
+                .filter(Effect.CallStore.class::isInstance)
+                .map(effect -> ((Effect.CallStore) effect).call())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private boolean sends(Instant now) {
+        ServiceRequest request =
+                new ServiceRequest(SERVICE, CustomerName.of("acme"), "k", "GET", "/k", List.of(), new byte[0], null);
+        duty.submit(request, now.plusSeconds(5), now, (outcome, _) -> outcomes.add(outcome));
+        return outbox.drain().stream().anyMatch(Effect.CallTarget.class::isInstance);
+    }
+
+    @Test
+    void sendsUnderASessionThatTheReplicaHasCaughtUpWith() {
+        openSession(2);
+        assertThat(sends(START)).isTrue();
+    }
+
+    @Test
+    void sendsNothingWithoutAuthority() {
+        assertThat(sends(START)).isFalse();
+        assertThat(outcomes).containsExactly(Outcome.Refused.of(RefusalReason.UNREACHABLE));
+    }
+
+    @Test
+    void sendsNothingOnceAuthorityHasEnded() {
+        openSession(2);
+        assertThat(sends(START.plus(HostAuthority.SESSION_TTL))).isFalse();
+    }
+
+    @Test
+    void sendsNothingBeforeTheReplicaHasCaughtUpWithTheSession() {
+        openSession(3);
+        assertThat(sends(START)).isFalse();
+    }
+}
