An ingress host that meets a stale owner asks the table's writers at once

Change: when a dispatcher declines or cannot be reached, the ingress host asks the service's assigner and standby for what is newer, at most ten times a second a service. Ruled out: sending each table to all hosts (cost grows with the square of the fleet). Conclusion: learning a new owner costs one exchange and does not grow with the fleet.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gossip/ReplicaSync.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gossip/ReplicaSync.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import org.dragonflymux.core.message.PeerMessage;
 import org.dragonflymux.core.message.StoreCall;
 import org.dragonflymux.core.message.StoreReply;
+import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.quarantine.CrashGuard;
 import org.dragonflymux.core.session.StoreDesk;
 
@@ -175,6 +177,15 @@
         return chosenPeers();
     }
 
+    /** Asks certain hosts at once, because what this host knows has shown to be out of date. */
+    public void askNow(Collection<HostId> hosts, Instant now) {
+        for (HostId host : hosts) {
+            replica.host(host)
+                    .filter(record -> !record.host().equals(self.host()))
+                    .ifPresent(record -> ask(record.peerAddress(), now));
+        }
+    }
+
     private void ask(String address, Instant now) {
         long question = numbers.next();
         questions.put(question, now);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/host/EntryHost.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/host/EntryHost.java
@@ -85,6 +85,7 @@
         this.ingress = IngressDuty.of(self, replica, routes, dispatch, outbox);
         this.admission = AdmissionDuty.of(record, replica, routes, authority, numbers, outbox, ingress);
         this.ingress.admitBy(admission);
+        this.ingress.askTablesBy(sync::askNow);
         this.authority.pledgeBy(writer::pledge);
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/ingress/IngressDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/ingress/IngressDuty.java
@@ -4,10 +4,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import org.dragonflymux.core.admission.AdmissionDuty;
 import org.dragonflymux.core.assignment.KeyHash;
 import org.dragonflymux.core.assignment.Routes;
@@ -33,6 +37,7 @@
 import org.dragonflymux.core.message.UnknownReason;
 import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
 
 /** The duty towards callers: admits each request, brings it to its key's dispatcher and answers with the truth. */
 public final class IngressDuty implements AdmissionDuty.Listener {
@@ -40,6 +45,9 @@
     /** After what time a held request looks for its owner again although the table has not changed. */
     public static final Duration HOLD = Duration.ofMillis(40);
 
+    /** How often the hosts that write a table are asked for it at most. */
+    public static final Duration TABLE_QUESTION_GAP = Duration.ofMillis(100);
+
     /** How often a repeatable request that may have run is sent again. */
     public static final int MAX_RETRIES = 2;
 
@@ -50,9 +58,11 @@
     private final RouteCache routes;
     private final DispatchDuty dispatch;
     private final Outbox outbox;
+    private final Map<ServiceName, Instant> tableAskedAt = new HashMap<>();
     private final RetryBudget budget = RetryBudget.full();
     private final Map<Long, PendingRequest> pending = new LinkedHashMap<>();
     private AdmissionDuty admission;
+    private BiConsumer<Collection<HostId>, Instant> tableQuestion = (_, _) -> {};
     private CredentialRegistry credentials = CredentialRegistry.of(List.of());
 
     private IngressDuty(
@@ -75,6 +85,11 @@
         this.admission = duty;
     }
 
+    /** Sets how to ask hosts for what is newer than this host's copy. */
+    public void askTablesBy(BiConsumer<Collection<HostId>, Instant> question) {
+        this.tableQuestion = question;
+    }
+
     /** Follows changed customers. */
     public void followCustomers() {
         credentials = CredentialRegistry.of(replica.all(CustomerDocument.class));
@@ -195,7 +210,11 @@
             return;
         }
         switch (outcome) {
-            case Outcome.Refused refused when refused.reason().passing() -> request.hold(now.plus(HOLD));
+            case Outcome.Refused refused
+            when refused.reason().passing() -> {
+                askForTable(request, now);
+                request.hold(now.plus(HOLD));
+            }
             case Outcome.Unknown unknown when retriable(request, unknown) -> retry(request, now);
             default -> finish(request, truthful(request, outcome));
         }
@@ -228,10 +247,29 @@
         if (mayHaveArrived) {
             outcome(id, new Outcome.Unknown(UnknownReason.DISPATCHER_LOST), now);
         } else {
+            askForTable(request, now);
             request.hold(now.plus(HOLD));
         }
     }
 
+    // The dispatcher may have changed: the hosts that write the table know first.
+    private void askForTable(PendingRequest request, Instant now) {
+        ServiceName service = request.request().service();
+        Instant askedAt = tableAskedAt.getOrDefault(service, Instant.MIN);
+        boolean lately = !askedAt.equals(Instant.MIN) && now.isBefore(askedAt.plus(TABLE_QUESTION_GAP));
+        if (lately) {
+            return;
+        }
+        tableAskedAt.put(service, now);
+        routes.routes(service).map(Routes::table).ifPresent(table -> {
+            List<HostId> pair = new ArrayList<>();
+            pair.add(table.assigner());
+            pair.add(table.standby());
+            pair.removeIf(Objects::isNull);
+            tableQuestion.accept(pair, now);
+        });
+    }
+
     private void finish(PendingRequest request, Outcome outcome) {
         pending.remove(request.id());
         CustomerName customer = request.customer().name();
