Requests that hang on a lost target are handed to the key's new owner

Cause: over sockets a frozen target's key was answered again after 5.1 s (8 tries): the caller's request had been sent to the frozen target a second time, with all the time it had left, and ended at its deadline although the key had been served elsewhere for 3 s. Ruled out: the table (a new request was answered at once). Change: when a host gives a lane up, its running repeatable requests end as unknown, so that the ingress host sends them to the new owner. Conclusion: recovery is judged by the caller's request, not only by the key.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/DispatchDuty.java
@@ -146,6 +146,9 @@
         lanes.remove(key);
         lastReports.remove(key);
         submissions.refuseAll(holder.evict(request -> true), RefusalReason.NOT_DISPATCHER, now);
+        // Whoever owns the key now can run it again; only what must run once waits for its own end.
+        holder.repeatableRunning()
+                .forEach(request -> submissions.settle(request, new Outcome.Unknown(UnknownReason.TARGET_LOST), now));
         noteHeld(key, holder, false);
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/LaneHolder.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/LaneHolder.java
@@ -205,6 +205,11 @@
         }
     }
 
+    /** Returns the requests that run now and may run again. */
+    List<QueuedRequest> repeatableRunning() {
+        return running.values().stream().filter(QueuedRequest::repeatable).toList();
+    }
+
     /** Removes and returns the waiting requests that match. */
     List<QueuedRequest> evict(Predicate<QueuedRequest> condition) {
         return queue.removeIf(condition);
--- a/dragonflymux-scenarios/src/test/resources/features/ownership.feature
+++ b/dragonflymux-scenarios/src/test/resources/features/ownership.feature
@@ -15,11 +15,13 @@
     When target ta1 is lost
     And callers ask for 8 seconds
     Then every key is served again within 4 seconds
+    And every request was served at all times
 
   Scenario: a target freezes and returns
     When target ta1 freezes
     And callers ask for 8 seconds
     Then every key is served again within 4 seconds
+    And every request of the last 8 seconds was answered within 2500 milliseconds
     When target ta1 thaws
     And callers ask for 8 seconds
     Then target ta1 works again
