--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/dispatch/DispatchDutyTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/dispatch/DispatchDutyTest.java
@@ -24,6 +24,7 @@
 import org.dragonflymux.core.message.RefusalReason;
 import org.dragonflymux.core.message.ServiceRequest;
 import org.dragonflymux.core.message.StoreReply;
+import org.dragonflymux.core.message.UnknownReason;
 import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
@@ -60,26 +61,18 @@
     void assignTheOnlyLaneToThisHost() {
         TargetDeclaration target = new TargetDeclaration(TARGET, SELF.domain(), "127.0.0.1:2", 3);
         put(new ServiceDocument(SERVICE, 1, Fencing.NONE, null, 5000, 0, 0, 0, null, List.of(target)), 1);
-        put(
-                new AssignmentTable(
-                        SERVICE,
-                        1,
-                        SELF.host(),
-                        null,
-                        0,
-                        9,
-                        1,
-                        List.of(),
-                        List.of(new Lane(TARGET, SELF.host(), 1, LaneState.OPEN)),
-                        List.of(0),
-                        List.of()),
-                2);
+        put(table(new Lane(TARGET, SELF.host(), 1, LaneState.OPEN)), 2);
         duty.follow(SERVICE, START);
         duty.tick(START);
         duty.grantReplied(SERVICE, TARGET, 0, new GrantReply.Held(true, "boot", 1, false), START);
         outbox.drain();
     }
 
+    private static AssignmentTable table(Lane lane) {
+        return new AssignmentTable(
+                SERVICE, 1, SELF.host(), null, 0, 9, 1, List.of(), List.of(lane), List.of(0), List.of());
+    }
+
     private void put(Document document, long revision) {
         replica.merge(
                 List.of(new StoredEntry(document.key(), revision, DocumentCodec.toJson(document))),
@@ -134,4 +127,13 @@
         openSession(3);
         assertThat(sends(START)).isFalse();
     }
+
+    @Test
+    void handsWhatHangsOnALostTargetBackSoThatItsNewOwnerCanRunIt() {
+        openSession(2);
+        sends(START);
+        put(table(new Lane(TARGET, SELF.host(), 2, LaneState.LOST)), 3);
+        duty.follow(SERVICE, START.plusSeconds(2));
+        assertThat(outcomes).containsExactly(new Outcome.Unknown(UnknownReason.TARGET_LOST));
+    }
 }
