Two more cells of the table of outages are scenarios

Cause: two cells had no scenario of their own. Change: a target lost in a domain cut off from its peers; a domain cut off from its peers while the store is down. Conclusion: each cell of docs/OUTAGES.md now names a scenario that runs.

--- a/dragonflymux-scenarios/src/test/resources/features/outages.feature
+++ b/dragonflymux-scenarios/src/test/resources/features/outages.feature
@@ -151,3 +151,25 @@
       | checked  | 20   |
       | deadline | 21   |
       | none     | 22   |
+
+  Scenario: a target is lost in a domain that is cut off from its peers
+    Given a fleet of 3 domains with 2 hosts and 2 targets each, seed 23
+    When domain b is cut off from its peers
+    And target tb1 is lost
+    And callers ask for 10 seconds
+    And domain b is joined again
+    And callers ask for 12 seconds
+    Then every key is served again within 18 seconds
+
+  Scenario: a domain cut off from its peers while the store is down stops
+    Given credentials are trusted for 600 seconds without news
+    And a fleet of 3 domains with 2 hosts and 2 targets each, seed 24
+    When the store goes down
+    And domain c is cut off from its peers
+    And callers use only hosts of domain c
+    And callers ask for 10 seconds
+    Then no request is served any more after 3 seconds
+    When domain c is joined again
+    And the store comes back
+    And callers ask for 12 seconds
+    Then every key is served again within 18 seconds
