--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/assignment/TablePlanner.java
@@ -31,10 +31,16 @@
 
     private final PlanInput input;
     private final TableDraft draft;
+    private final Map<TargetId, TargetDeclaration> declarations = new HashMap<>();
 
     private TablePlanner(PlanInput input, TableDraft draft) {
         this.input = input;
         this.draft = draft;
+        input.service().targets().forEach(target -> declarations.put(target.id(), target));
+    }
+
+    private Optional<TargetDeclaration> declaration(TargetId target) {
+        return Optional.ofNullable(declarations.get(target));
     }
 
     /** Returns the first table of a service. */
@@ -133,7 +139,7 @@
                 && report(lane).filter(LaneReport::closed).isPresent();
         if (gone || closed) {
             LaneState state = lane.state() == LaneState.LOST ? LaneState.LOST : LaneState.OPEN;
-            chooseDispatcher(lane.target()).ifPresent(host -> draft.open(lane.target(), host, state));
+            chooseDispatcher(lane.target(), lanesByHost()).ifPresent(host -> draft.open(lane.target(), host, state));
         } else if (!staying(lane.dispatcher()) && lane.state() != LaneState.CLOSING && anyStaying()) {
             draft.lanes.put(lane.target(), lane.withState(LaneState.CLOSING));
         }
@@ -143,8 +149,7 @@
         return input.liveHosts().values().stream().anyMatch(host -> !host.leaving());
     }
 
-    private Optional<HostId> chooseDispatcher(TargetId target) {
-        Map<HostId, Long> lanesByHost = lanesByHost();
+    private Optional<HostId> chooseDispatcher(TargetId target, Map<HostId, Long> lanesByHost) {
         return input.liveHosts().values().stream()
                 .filter(host -> !host.leaving())
                 .min(Comparator.comparing((HostRecord host) -> isHome(target, host) ? 0 : 1)
@@ -154,8 +159,7 @@
     }
 
     private boolean isHome(TargetId target, HostRecord host) {
-        return input.service()
-                .target(target)
+        return declaration(target)
                 .map(TargetDeclaration::domain)
                 .filter(host.domain()::equals)
                 .isPresent();
@@ -174,24 +178,25 @@
         boolean settled = draft.moves.isEmpty()
                 && draft.lanes.values().stream().noneMatch(lane -> lane.state() == LaneState.CLOSING);
         if (settled) {
+            Map<HostId, Long> lanesByHost = lanesByHost();
             draft.lanes.values().stream()
                     .filter(lane -> lane.state() == LaneState.OPEN)
-                    .filter(this::betterElsewhere)
+                    .filter(lane -> betterElsewhere(lane, lanesByHost))
                     .findFirst()
                     .ifPresent(lane -> draft.lanes.put(lane.target(), lane.withState(LaneState.CLOSING)));
         }
     }
 
-    private boolean betterElsewhere(Lane lane) {
+    private boolean betterElsewhere(Lane lane, Map<HostId, Long> lanesByHost) {
         HostRecord present = input.liveHosts().get(lane.dispatcher());
-        HostRecord best =
-                chooseDispatcher(lane.target()).map(input.liveHosts()::get).orElse(null);
+        HostRecord best = chooseDispatcher(lane.target(), lanesByHost)
+                .map(input.liveHosts()::get)
+                .orElse(null);
         if (present == null || best == null) {
             return false;
         }
         boolean presentHome = isHome(lane.target(), present);
         boolean bestHome = isHome(lane.target(), best);
-        Map<HostId, Long> lanesByHost = lanesByHost();
         long presentLanes = lanesByHost.getOrDefault(present.host(), 0L);
         long bestLanes = lanesByHost.getOrDefault(best.host(), 0L);
         return presentHome == bestHome ? presentLanes > 2 * bestLanes + 2 : bestHome;
@@ -239,7 +244,7 @@
     /** Tells whether a target may be given keys. */
     private boolean eligible(TargetId target) {
         Lane lane = draft.lanes.get(target);
-        Optional<TargetDeclaration> declaration = input.service().target(target);
+        Optional<TargetDeclaration> declaration = declaration(target);
         return lane != null
                 && lane.state() == LaneState.OPEN
                 && declaration.isPresent()
@@ -253,7 +258,7 @@
     }
 
     private double fill(TargetId target, Map<TargetId, Integer> units) {
-        int slots = input.service().target(target).map(TargetDeclaration::slots).orElse(1);
+        int slots = declaration(target).map(TargetDeclaration::slots).orElse(1);
         return (double) units.get(target) / slots;
     }
 
@@ -402,8 +407,6 @@
     }
 
     private void removeLanes() {
-        draft.lanes
-                .values()
-                .removeIf(lane -> input.service().target(lane.target()).isEmpty() && !draft.ownsAny(lane.target()));
+        draft.lanes.values().removeIf(lane -> declaration(lane.target()).isEmpty() && !draft.ownsAny(lane.target()));
     }
 }
