A late end of a handed-over attempt changes nothing

Cause: after a lane is given up its running repeatable requests already have an outcome; the end of such an attempt then looked up a submission that is gone. Change: a request with an outcome counts no attempts. The test fails without the change.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/Submissions.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/Submissions.java
@@ -50,9 +50,10 @@
         return open.isEmpty();
     }
 
-    /** Returns how many attempts were made to run a request. */
+    /** Returns how many attempts were made to run a request, 0 for one that has its outcome. */
     int attempts(QueuedRequest request) {
-        return open.get(request.id()).attempts();
+        Submission submission = open.get(request.id());
+        return submission == null ? 0 : submission.attempts();
     }
 
     void attemptStarted(QueuedRequest request) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/dispatch/DispatchDutyTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/dispatch/DispatchDutyTest.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.dragonflymux.core.configuration.ConfigurationReplica;
 import org.dragonflymux.core.configuration.StoredEntry;
 import org.dragonflymux.core.document.AssignmentTable;
@@ -24,6 +25,7 @@
 import org.dragonflymux.core.message.RefusalReason;
 import org.dragonflymux.core.message.ServiceRequest;
 import org.dragonflymux.core.message.StoreReply;
+import org.dragonflymux.core.message.TargetResult;
 import org.dragonflymux.core.message.UnknownReason;
 import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.FailureDomain;
@@ -98,10 +100,17 @@
     }
 
     private boolean sends(Instant now) {
+        return attempt(now).isPresent();
+    }
+
+    private Optional<Long> attempt(Instant now) {
         ServiceRequest request =
                 new ServiceRequest(SERVICE, CustomerName.of("acme"), "k", "GET", "/k", List.of(), new byte[0], null);
         duty.submit(request, now.plusSeconds(5), now, (outcome, _) -> outcomes.add(outcome));
-        return outbox.drain().stream().anyMatch(Effect.CallTarget.class::isInstance);
+        return outbox.drain().stream()
+                .filter(Effect.CallTarget.class::isInstance)
+                .map(effect -> ((Effect.CallTarget) effect).attempt())
+                .findFirst();
     }
 
     @Test
@@ -131,9 +140,11 @@
     @Test
     void handsWhatHangsOnALostTargetBackSoThatItsNewOwnerCanRunIt() {
         openSession(2);
-        sends(START);
+        long attempt = attempt(START).orElseThrow();
         put(table(new Lane(TARGET, SELF.host(), 2, LaneState.LOST)), 3);
         duty.follow(SERVICE, START.plusSeconds(2));
         assertThat(outcomes).containsExactly(new Outcome.Unknown(UnknownReason.TARGET_LOST));
+        duty.attemptEnded(attempt, new TargetResult.TimedOut(), START.plusSeconds(5));
+        assertThat(outcomes).hasSize(1);
     }
 }
