A scenario shows the request that hung on a frozen target

Cause: the scenario of a frozen target sends no request to it in the moment of freezing. Change: one that does. Without the hand-over the request has no answer after 2.5 s; with it the next owner's answer comes. Conclusion: the fault that the sockets showed has its test.

--- a/dragonflymux-scenarios/src/test/resources/features/ownership.feature
+++ b/dragonflymux-scenarios/src/test/resources/features/ownership.feature
@@ -26,6 +26,12 @@
     And callers ask for 8 seconds
     Then target ta1 works again
 
+  Scenario: a request that is sent to a target in the moment of its freezing is answered by the next owner
+    When target ta2 freezes
+    And acme sends a GET for key k2 through host b1
+    And 2500 milliseconds pass
+    Then the request succeeds
+
   Scenario: a dispatcher is lost
     When host dispatcher is killed
     And callers ask for 8 seconds
