Code that nothing calls is removed

Cause: reading the whole change once more found an observation that is never made (a lost target), a gauge, an accessor of the window and one of the scenarios' bench without a caller. Behaviour as it was. Conclusion: left to do: token borrowers look their holder up on each tick before they know whether a question is due.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/ConcurrencyWindow.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/dispatch/ConcurrencyWindow.java
@@ -40,11 +40,6 @@
         return (int) window;
     }
 
-    /** Returns how many requests may run at once when the target is warm. */
-    public int slots() {
-        return slots;
-    }
-
     /** Returns the mean time of an answer, or zero when there was none. */
     public Duration meanTime() {
         return Duration.ofNanos((long) (meanMillis * 1e6));
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/message/Observation.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/message/Observation.java
@@ -23,9 +23,6 @@
     /** This host began or ended to dispatch to a target. */
     record LaneHeld(ServiceName service, TargetId target, long fence, boolean held) implements Observation {}
 
-    /** A target was found lost. */
-    record TargetLost(ServiceName service, TargetId target, long fence) implements Observation {}
-
     /** A request was held back because it crashed targets. */
     record RequestQuarantined(ServiceName service, long fingerprint) implements Observation {}
 
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/EntryMetrics.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/EntryMetrics.java
@@ -1,6 +1,5 @@
 package org.dragonflymux.entry.telemetry;
 
-import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.prometheus.client.CollectorRegistry;
 import io.prometheus.client.dropwizard.DropwizardExports;
@@ -73,11 +72,6 @@
         registry.counter(name).inc(amount);
     }
 
-    /** Shows a figure that is read when it is asked for. */
-    public void gauge(String name, Gauge<Long> value) {
-        registry.gauge(name, () -> value);
-    }
-
     /** Returns all metrics in Prometheus' text format. */
     public String text() throws IOException {
         StringWriter writer = new StringWriter();
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/ObservationLog.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/telemetry/ObservationLog.java
@@ -41,15 +41,6 @@
                         lane.target().value(),
                         "fence",
                         text(lane.fence()));
-            case Observation.TargetLost lost ->
-                log(
-                        "target_lost",
-                        "service",
-                        lost.service().value(),
-                        "target",
-                        lost.target().value(),
-                        "fence",
-                        text(lost.fence()));
             case Observation.RequestQuarantined held ->
                 log(
                         "request_quarantined",
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Fleet.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Fleet.java
@@ -607,9 +607,4 @@
     public String domainOfHost(String name) {
         return hosts.get(name).domain;
     }
-
-    /** Returns how many calls the store answered. */
-    public long storeCalls() {
-        return store.calls();
-    }
 }
