The module of shared plumbing is named runtime

Cause: the name platform is needed for the adapter that speaks to the users' platform. Change: dragonflymux-platform becomes dragonflymux-runtime, package org.dragonflymux.runtime; nothing else.

--- a/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/Ctl.java
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/Ctl.java
@@ -11,10 +11,10 @@
 import org.dragonflymux.ctl.command.Commands;
 import org.dragonflymux.ctl.output.Report;
 import org.dragonflymux.ctl.store.DocumentStore;
-import org.dragonflymux.platform.settings.Program;
-import org.dragonflymux.platform.settings.Setting;
-import org.dragonflymux.platform.settings.SettingType;
-import org.dragonflymux.platform.settings.Settings;
+import org.dragonflymux.runtime.settings.Program;
+import org.dragonflymux.runtime.settings.Setting;
+import org.dragonflymux.runtime.settings.SettingType;
+import org.dragonflymux.runtime.settings.Settings;
 
 /** The program {@code dragonflyctl}. */
 public final class Ctl {
--- a/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/store/DocumentStore.java
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/store/DocumentStore.java
@@ -16,10 +16,10 @@
 import org.dragonflymux.core.document.DocumentKey;
 import org.dragonflymux.core.message.StoreReply;
 import org.dragonflymux.ctl.CtlError;
-import org.dragonflymux.platform.http.Executions;
-import org.dragonflymux.platform.store.EtcdCodec;
-import org.dragonflymux.platform.store.EtcdRequest;
-import org.dragonflymux.platform.store.StoreClient;
+import org.dragonflymux.runtime.http.Executions;
+import org.dragonflymux.runtime.store.EtcdCodec;
+import org.dragonflymux.runtime.store.EtcdRequest;
+import org.dragonflymux.runtime.store.StoreClient;
 
 /** The operators' documents in the store. Writes are conditional on the revision that was read. */
 public final class DocumentStore implements AutoCloseable {
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/Entry.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/Entry.java
@@ -20,16 +20,16 @@
 import org.dragonflymux.entry.target.TargetClient;
 import org.dragonflymux.entry.telemetry.EntryMetrics;
 import org.dragonflymux.entry.telemetry.ObservationLog;
-import org.dragonflymux.platform.http.Executions;
-import org.dragonflymux.platform.peer.PeerListener;
-import org.dragonflymux.platform.peer.PeerNetwork;
-import org.dragonflymux.platform.peer.PeerProtocolError;
-import org.dragonflymux.platform.settings.Program;
-import org.dragonflymux.platform.settings.Setting;
-import org.dragonflymux.platform.settings.SettingType;
-import org.dragonflymux.platform.settings.Settings;
-import org.dragonflymux.platform.store.StoreClient;
-import org.dragonflymux.platform.time.MonotonicClock;
+import org.dragonflymux.runtime.http.Executions;
+import org.dragonflymux.runtime.peer.PeerListener;
+import org.dragonflymux.runtime.peer.PeerNetwork;
+import org.dragonflymux.runtime.peer.PeerProtocolError;
+import org.dragonflymux.runtime.settings.Program;
+import org.dragonflymux.runtime.settings.Setting;
+import org.dragonflymux.runtime.settings.SettingType;
+import org.dragonflymux.runtime.settings.Settings;
+import org.dragonflymux.runtime.store.StoreClient;
+import org.dragonflymux.runtime.time.MonotonicClock;
 import ratpack.server.RatpackServer;
 
 /** The program {@code dragonfly-entry}: one entry host. */
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/caller/OutcomeWriter.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/caller/OutcomeWriter.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import org.dragonflymux.core.message.Header;
 import org.dragonflymux.core.message.Outcome;
-import org.dragonflymux.platform.http.TargetProtocol;
+import org.dragonflymux.runtime.http.TargetProtocol;
 import ratpack.http.Response;
 
 /** Writes outcomes as HTTP answers; what is not a target's answer is an RFC 9457 problem. */
--- a/dragonflymux-entry/src/main/java/org/dragonflymux/entry/caller/RequestReader.java
+++ b/dragonflymux-entry/src/main/java/org/dragonflymux/entry/caller/RequestReader.java
@@ -10,7 +10,7 @@
 import java.util.regex.Pattern;
 import org.dragonflymux.core.message.CallerRequest;
 import org.dragonflymux.core.message.Header;
-import org.dragonflymux.platform.http.TargetProtocol;
+import org.dragonflymux.runtime.http.TargetProtocol;
 import ratpack.http.Headers;
 import ratpack.http.Request;
 
--- a/dragonflymux-entry/src/test/java/org/dragonflymux/entry/SettingsPageTest.java
+++ b/dragonflymux-entry/src/test/java/org/dragonflymux/entry/SettingsPageTest.java
@@ -8,9 +8,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import org.dragonflymux.platform.settings.Setting;
-import org.dragonflymux.platform.settings.SettingError;
-import org.dragonflymux.platform.settings.Settings;
+import org.dragonflymux.runtime.settings.Setting;
+import org.dragonflymux.runtime.settings.SettingError;
+import org.dragonflymux.runtime.settings.Settings;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
--- a/dragonflymux-load/src/main/java/org/dragonflymux/load/Load.java
+++ b/dragonflymux-load/src/main/java/org/dragonflymux/load/Load.java
@@ -17,12 +17,12 @@
 import org.dragonflymux.load.run.LoadRun;
 import org.dragonflymux.load.run.Result;
 import org.dragonflymux.load.run.RunRecord;
-import org.dragonflymux.platform.http.Executions;
-import org.dragonflymux.platform.settings.Program;
-import org.dragonflymux.platform.settings.Setting;
-import org.dragonflymux.platform.settings.SettingType;
-import org.dragonflymux.platform.settings.Settings;
-import org.dragonflymux.platform.time.MonotonicClock;
+import org.dragonflymux.runtime.http.Executions;
+import org.dragonflymux.runtime.settings.Program;
+import org.dragonflymux.runtime.settings.Setting;
+import org.dragonflymux.runtime.settings.SettingType;
+import org.dragonflymux.runtime.settings.Settings;
+import org.dragonflymux.runtime.time.MonotonicClock;
 
 /** The program {@code dragonfly-load}: open-loop load with checked answers. */
 public final class Load {
--- a/dragonflymux-load/src/main/java/org/dragonflymux/load/bench/Bench.java
+++ b/dragonflymux-load/src/main/java/org/dragonflymux/load/bench/Bench.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
-import org.dragonflymux.platform.settings.Program;
+import org.dragonflymux.runtime.settings.Program;
 
 /** The program {@code dragonfly-bench}: slopes of costs over sizes, as docs/CAPACITY.md uses them. */
 public final class Bench {
--- a/dragonflymux-load/src/main/java/org/dragonflymux/load/run/AnswerCheck.java
+++ b/dragonflymux-load/src/main/java/org/dragonflymux/load/run/AnswerCheck.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import org.dragonflymux.platform.http.TargetProtocol;
+import org.dragonflymux.runtime.http.TargetProtocol;
 import ratpack.http.client.ReceivedResponse;
 
 /** Tells what an answer means, and whether it is the answer to what was asked. */
--- a/dragonflymux-load/src/main/java/org/dragonflymux/load/run/LoadRun.java
+++ b/dragonflymux-load/src/main/java/org/dragonflymux/load/run/LoadRun.java
@@ -14,8 +14,8 @@
 import org.dragonflymux.load.plan.LoadCustomer;
 import org.dragonflymux.load.plan.LoadPlan;
 import org.dragonflymux.load.plan.ScriptedChange;
-import org.dragonflymux.platform.http.Executions;
-import org.dragonflymux.platform.http.TargetProtocol;
+import org.dragonflymux.runtime.http.Executions;
+import org.dragonflymux.runtime.http.TargetProtocol;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.RequestSpec;
 
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/time/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The runtime's clock. */
-package org.dragonflymux.platform.time;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/http/Executions.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/http/Executions.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.http;
+package org.dragonflymux.runtime.http;
 
 import java.time.Duration;
 import ratpack.exec.ExecController;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/http/HttpSetupException.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/http/HttpSetupException.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.http;
+package org.dragonflymux.runtime.http;
 
 /** Signals that an HTTP client could not be set up. */
 public final class HttpSetupException extends IllegalStateException {
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/http/TargetProtocol.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/http/TargetProtocol.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.http;
+package org.dragonflymux.runtime.http;
 
 /** The headers and paths that entry hosts and targets agree on; described in docs/TARGETS.md. */
 public final class TargetProtocol {
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/http/package-info.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/http/package-info.java
@@ -1,2 +1,2 @@
 /** Set-up shared by the project's Ratpack clients and servers. */
-package org.dragonflymux.platform.http;
+package org.dragonflymux.runtime.http;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/Handshake.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/peer/Handshake.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.peer;
+package org.dragonflymux.runtime.peer;
 
 import com.google.common.hash.Hashing;
 import io.netty.buffer.ByteBuf;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/PeerCodec.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/peer/PeerCodec.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.peer;
+package org.dragonflymux.runtime.peer;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/PeerListener.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/peer/PeerListener.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.peer;
+package org.dragonflymux.runtime.peer;
 
 import org.dragonflymux.core.message.PeerMessage;
 
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/PeerNetwork.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/peer/PeerNetwork.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.peer;
+package org.dragonflymux.runtime.peer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/PeerProtocolError.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/peer/PeerProtocolError.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.peer;
+package org.dragonflymux.runtime.peer;
 
 /** Why a link between two entry hosts is closed. */
 public enum PeerProtocolError {
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/UnwritableMessageException.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/peer/UnwritableMessageException.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.peer;
+package org.dragonflymux.runtime.peer;
 
 /** Signals that a message cannot be written, which is a fault of the program. */
 public final class UnwritableMessageException extends IllegalStateException {
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/peer/package-info.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/peer/package-info.java
@@ -1,2 +1,2 @@
 /** Links between entry hosts: MessagePack frames over TCP, authenticated by a shared secret. */
-package org.dragonflymux.platform.peer;
+package org.dragonflymux.runtime.peer;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/settings/IllegalSettingException.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/settings/IllegalSettingException.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.settings;
+package org.dragonflymux.runtime.settings;
 
 /** Signals that a text is not a correct value of a setting. */
 final class IllegalSettingException extends IllegalArgumentException {
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/settings/Program.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/settings/Program.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.settings;
+package org.dragonflymux.runtime.settings;
 
 import io.vavr.control.Either;
 import java.io.PrintWriter;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/settings/SettingError.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/settings/SettingError.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.settings;
+package org.dragonflymux.runtime.settings;
 
 /**
  * A fault of a program's settings.
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/settings/package-info.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/settings/package-info.java
@@ -1,2 +1,2 @@
 /** Settings from flags and environment variables, checked together at start. */
-package org.dragonflymux.platform.settings;
+package org.dragonflymux.runtime.settings;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/store/EtcdCodec.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/store/EtcdCodec.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.store;
+package org.dragonflymux.runtime.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/store/StoreClient.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/store/StoreClient.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.store;
+package org.dragonflymux.runtime.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 import org.dragonflymux.core.message.StoreCall;
 import org.dragonflymux.core.message.StoreReply;
-import org.dragonflymux.platform.http.Executions;
+import org.dragonflymux.runtime.http.Executions;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.ReceivedResponse;
 
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/store/package-info.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/store/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's store over the etcd v3 JSON gateway. */
-package org.dragonflymux.platform.store;
+package org.dragonflymux.runtime.store;
--- a/dragonflymux-platform/src/main/java/org/dragonflymux/platform/time/MonotonicClock.java
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/time/MonotonicClock.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.time;
+package org.dragonflymux.runtime.time;
 
 import java.time.Clock;
 import java.time.Instant;
--- /dev/null
+++ b/dragonflymux-runtime/src/main/java/org/dragonflymux/runtime/time/package-info.java
@@ -0,0 +1,2 @@
+/** The runtime's clock. */
+package org.dragonflymux.runtime.time;
--- a/dragonflymux-platform/src/test/java/org/dragonflymux/platform/peer/PeerNetworkTest.java
+++ b/dragonflymux-runtime/src/test/java/org/dragonflymux/runtime/peer/PeerNetworkTest.java
@@ -1,4 +1,4 @@
-package org.dragonflymux.platform.peer;
+package org.dragonflymux.runtime.peer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Fleet.java
+++ b/dragonflymux-scenarios/src/test/java/org/dragonflymux/scenarios/bench/Fleet.java
@@ -38,8 +38,8 @@
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
-import org.dragonflymux.platform.store.EtcdCodec;
-import org.dragonflymux.platform.store.EtcdRequest;
+import org.dragonflymux.runtime.store.EtcdCodec;
+import org.dragonflymux.runtime.store.EtcdRequest;
 import org.dragonflymux.standin.store.KeyValueModel;
 import org.dragonflymux.standin.time.Timeline;
 
--- a/dragonflymux-standin/src/main/java/org/dragonflymux/standin/StandIn.java
+++ b/dragonflymux-standin/src/main/java/org/dragonflymux/standin/StandIn.java
@@ -6,11 +6,11 @@
 import java.time.Duration;
 import java.util.List;
 import org.dragonflymux.core.document.Fencing;
-import org.dragonflymux.platform.settings.Program;
-import org.dragonflymux.platform.settings.Setting;
-import org.dragonflymux.platform.settings.SettingType;
-import org.dragonflymux.platform.settings.Settings;
-import org.dragonflymux.platform.time.MonotonicClock;
+import org.dragonflymux.runtime.settings.Program;
+import org.dragonflymux.runtime.settings.Setting;
+import org.dragonflymux.runtime.settings.SettingType;
+import org.dragonflymux.runtime.settings.Settings;
+import org.dragonflymux.runtime.time.MonotonicClock;
 import org.dragonflymux.standin.store.StoreServer;
 import org.dragonflymux.standin.target.TargetServer;
 
--- a/dragonflymux-standin/src/main/java/org/dragonflymux/standin/store/KeyValueModel.java
+++ b/dragonflymux-standin/src/main/java/org/dragonflymux/standin/store/KeyValueModel.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.dragonflymux.platform.store.EtcdCodec;
+import org.dragonflymux.runtime.store.EtcdCodec;
 
 /** The state of the stand-in store; answers the gateway's requests at given instants. */
 public final class KeyValueModel {
