--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetChoice.java
@@ -0,0 +1,85 @@
+package org.dragonflymux.core.balance;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+
+/** Chooses the target that is expected to answer first, for services whose requests any target may run. */
+public final class TargetChoice {
+
+    private static final int QUEUED_PER_TARGET = 1;
+    private static final double OTHER_DOMAIN_MILLIS = 1;
+    private static final double OTHER_DOMAIN_MILLIS_LARGE = 25;
+    private static final double FAILURE_WEIGHT = 4;
+    private static final double TIE_MILLIS = 4;
+
+    private final TargetDirectory directory;
+    private final ColdPacer pacer;
+    private final FailureDomain home;
+    private final RandomGenerator random;
+
+    private TargetChoice(TargetDirectory directory, ColdPacer pacer, FailureDomain home, RandomGenerator random) {
+        this.directory = directory;
+        this.pacer = pacer;
+        this.home = home;
+        this.random = random;
+    }
+
+    /** Returns a choice among the directory's targets for a host in the given failure domain. */
+    public static TargetChoice of(
+            TargetDirectory directory, ColdPacer pacer, FailureDomain home, RandomGenerator random) {
+        return new TargetChoice(directory, pacer, home, random);
+    }
+
+    /**
+     * Returns the best target that has room.
+     *
+     * @param excluded targets that already had the request
+     * @param largeAnswer whether the answer's way between failure domains matters
+     */
+    public Optional<TargetState> best(ServiceName service, Set<TargetId> excluded, boolean largeAnswer, long now) {
+        List<TargetState> candidates = directory.of(service);
+        double guess = directory.meanServiceMillis(service);
+        TargetState best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (TargetState target : candidates) {
+            if (!usable(target, now)
+                    || excluded.contains(target.entry().id())
+                    || target.busy() >= target.entry().slots() + QUEUED_PER_TARGET) {
+                continue;
+            }
+            double score = expectedMillis(target, guess, largeAnswer, now) + random.nextDouble() * TIE_MILLIS;
+            if (score < bestScore) {
+                bestScore = score;
+                best = target;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns whether a target may get a request now, room aside. */
+    public boolean usable(TargetState target, long now) {
+        return directory.wanted(target) && !target.heldDown(now) && pacer.admits(target, now);
+    }
+
+    private double expectedMillis(TargetState target, double guess, boolean largeAnswer, long now) {
+        int slots = Math.max(1, target.entry().slots());
+        double rounds = Math.max(1.0, (target.busy() + 1.0) / slots);
+        double work = target.serviceMillis(guess) * target.slowdown(now) * rounds;
+        double failures = 1 + FAILURE_WEIGHT * target.failureRatio();
+        // Part of the way towards a full target costs a little even before requests wait there.
+        double crowding = 0.2 * guess * target.busy() / slots;
+        return (work + crowding) * failures + distanceMillis(target, largeAnswer);
+    }
+
+    private double distanceMillis(TargetState target, boolean largeAnswer) {
+        if (target.entry().domain().equals(home)) {
+            return 0;
+        }
+        return largeAnswer ? OTHER_DOMAIN_MILLIS_LARGE : OTHER_DOMAIN_MILLIS;
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -0,0 +1,182 @@
+package org.dragonflymux.core.balance;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.dragonflymux.core.name.HostId;
+
+/** What one host believes about one life of a target. Times are milliseconds of the monotonic clock. */
+public final class TargetState {
+
+    private static final double SMOOTHING = 0.15;
+    private static final double FAILURE_SMOOTHING = 0.2;
+    private static final long SLOWDOWN_VALID_MILLIS = 400;
+    private static final long FIRST_HOLD_DOWN_MILLIS = 400;
+    private static final long MAX_HOLD_DOWN_MILLIS = 3_000;
+    private static final int MAX_HOLD_DOWN_DOUBLINGS = 3;
+
+    private TargetEntry entry;
+    private int inFlight;
+    private final Map<HostId, Integer> peersInFlight = new HashMap<>();
+    private int peersTotal;
+    private double serviceMillis = -1;
+    private double failureRatio;
+    private int failuresInARow;
+    private long heldDownUntil = Long.MIN_VALUE;
+    private int slowdownPercent = 100;
+    private long slowdownAt = Long.MIN_VALUE / 2;
+    private long coldUntil;
+    private long lastColdSend = Long.MIN_VALUE / 2;
+    private int doneSinceReport;
+    private double doneMillisSinceReport;
+
+    private TargetState(TargetEntry entry, long now) {
+        this.entry = entry;
+        this.coldUntil = now + entry.coldMillis();
+    }
+
+    /** Returns the state of a target of which nothing but its entry is known. */
+    public static TargetState of(TargetEntry entry, long now) {
+        return new TargetState(entry, now);
+    }
+
+    public TargetEntry entry() {
+        return entry;
+    }
+
+    /** Takes in a newer entry of the same life. */
+    public void update(TargetEntry newer, long now) {
+        entry = newer;
+        if (newer.coldMillis() > 0) {
+            becameCold(newer.coldMillis(), now);
+        }
+    }
+
+    /** Takes in that the target is cold. */
+    public void becameCold(long millis, long now) {
+        coldUntil = Math.max(coldUntil, now + millis);
+    }
+
+    public boolean cold(long now) {
+        return now < coldUntil;
+    }
+
+    /** Returns when the host last sent a request while the target was cold. */
+    public long lastColdSend() {
+        return lastColdSend;
+    }
+
+    /** Takes in that a request is sent. */
+    public void sent(long now) {
+        inFlight++;
+        if (cold(now)) {
+            lastColdSend = now;
+        }
+    }
+
+    /** Takes in that a request ended in whatever way. */
+    public void ended() {
+        inFlight = Math.max(0, inFlight - 1);
+    }
+
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns how many requests of all hosts are believed to be at the target. */
+    public int busy() {
+        return inFlight + peersTotal;
+    }
+
+    /** Takes in how many requests another host has at the target; 0 forgets that host. */
+    public void peerHas(HostId peer, int count) {
+        Integer before = count == 0 ? peersInFlight.remove(peer) : peersInFlight.put(peer, count);
+        peersTotal += count - (before == null ? 0 : before);
+    }
+
+    /**
+     * Takes in a good answer.
+     *
+     * @param millis from sending to the whole answer
+     * @param busyAtSend how many requests were at the target when it was sent
+     */
+    public void succeeded(double millis, int busyAtSend) {
+        double alone = millis * Math.min(1.0, (double) entry.slots() / Math.max(1, busyAtSend));
+        learn(alone, 1);
+        doneSinceReport++;
+        doneMillisSinceReport += alone;
+        failuresInARow = 0;
+        failureRatio -= failureRatio * FAILURE_SMOOTHING;
+    }
+
+    /** Takes in what another host saw of good answers. */
+    public void learn(double millis, int count) {
+        double keep = Math.pow(1 - SMOOTHING, count);
+        serviceMillis = serviceMillis < 0 ? millis : serviceMillis * keep + millis * (1 - keep);
+    }
+
+    /** Takes in a failure that speaks against the target; it is left alone for a while after several. */
+    public void failed(boolean unreachable, long now) {
+        failureRatio += (1 - failureRatio) * FAILURE_SMOOTHING;
+        failuresInARow++;
+        if (unreachable || failuresInARow >= 3) {
+            int doublings = Math.min(MAX_HOLD_DOWN_DOUBLINGS, Math.max(0, failuresInARow - 1));
+            heldDownUntil = now + Math.min(MAX_HOLD_DOWN_MILLIS, FIRST_HOLD_DOWN_MILLIS << doublings);
+        }
+    }
+
+    public boolean heldDown(long now) {
+        return now < heldDownUntil;
+    }
+
+    public double failureRatio() {
+        return failureRatio;
+    }
+
+    /** Takes in the target's own report. */
+    public void reported(int percent, long at) {
+        if (at >= slowdownAt) {
+            slowdownPercent = percent;
+            slowdownAt = at;
+        }
+    }
+
+    public int slowdownPercent() {
+        return slowdownPercent;
+    }
+
+    public long slowdownAt() {
+        return slowdownAt;
+    }
+
+    /** Returns by what factor work takes longer now; an old report counts less. */
+    public double slowdown(long now) {
+        double freshness = Math.max(0, 1 - (double) (now - slowdownAt) / SLOWDOWN_VALID_MILLIS);
+        return 1 + (slowdownPercent / 100.0 - 1) * freshness;
+    }
+
+    /** Returns how long the target works on a request that it runs alone, or a guess where nothing is known. */
+    public double serviceMillis(double guess) {
+        return serviceMillis < 0 ? guess : serviceMillis;
+    }
+
+    public boolean measured() {
+        return serviceMillis >= 0;
+    }
+
+    /** Returns good answers since the last call, and their mean time; both are then forgotten. */
+    public Completions takeCompletions() {
+        Completions taken = new Completions(
+                doneSinceReport, doneSinceReport == 0 ? 0 : doneMillisSinceReport / doneSinceReport);
+        doneSinceReport = 0;
+        doneMillisSinceReport = 0;
+        return taken;
+    }
+
+    /**
+     * Good answers in a span of time.
+     *
+     * @param count how many
+     * @param meanMillis their mean time at a target that runs them alone
+     */
+    public record Completions(int count, double meanMillis) {}
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetQuota.java
@@ -0,0 +1,120 @@
+package org.dragonflymux.core.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.dragonflymux.core.desired.CustomerSpec;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
+
+/**
+ * Customers' rates over the whole fleet: each host keeps the whole bucket and takes out of it what the other hosts say
+ * they have admitted. Of hosts that say nothing it is assumed that they go on as before.
+ */
+final class FleetQuota {
+
+    private static final double MILLIS_PER_SECOND = 1000;
+    private static final double DEBT_SECONDS = 1;
+
+    private final Map<CustomerName, Bucket> buckets = new HashMap<>();
+    private final Map<CustomerName, Long> admitted = new HashMap<>();
+    private final Map<HostId, PeerUse> peers = new HashMap<>();
+
+    private static final class Bucket {
+        private double tokens;
+        private long filledAt;
+    }
+
+    private static final class PeerUse {
+        private long incarnation;
+        private Map<CustomerName, Long> admitted = Map.of();
+        private long heardAt;
+        private final Map<CustomerName, Double> perMilli = new HashMap<>();
+        private final Map<CustomerName, Double> assumed = new HashMap<>();
+    }
+
+    /** Takes a token out, or returns after how many milliseconds one is expected. */
+    long take(CustomerSpec customer, int hosts, long now) {
+        if (!customer.limited()) {
+            return 0;
+        }
+        Bucket bucket = filled(customer, hosts, now);
+        if (bucket.tokens < 1) {
+            return Math.max(1, (long) Math.ceil((1 - bucket.tokens) / customer.ratePerSecond() * MILLIS_PER_SECOND));
+        }
+        bucket.tokens--;
+        admitted.merge(customer.name(), 1L, Long::sum);
+        return 0;
+    }
+
+    /** Gives back the token of a request that has not run. */
+    void giveBack(CustomerName customer) {
+        Bucket bucket = buckets.get(customer);
+        if (bucket != null) {
+            bucket.tokens++;
+            admitted.merge(customer, -1L, Long::sum);
+        }
+    }
+
+    Map<CustomerName, Long> admitted() {
+        return admitted;
+    }
+
+    private Bucket filled(CustomerSpec customer, int hosts, long now) {
+        Bucket bucket = buckets.get(customer.name());
+        if (bucket == null) {
+            bucket = new Bucket();
+            bucket.tokens = customer.burst() / Math.max(1, hosts);
+            bucket.filledAt = now;
+            buckets.put(customer.name(), bucket);
+        }
+        double flow = (now - bucket.filledAt) * customer.ratePerSecond() / MILLIS_PER_SECOND;
+        bucket.tokens = Math.min(Math.max(customer.burst(), 1), bucket.tokens + flow);
+        bucket.tokens = Math.max(-DEBT_SECONDS * customer.ratePerSecond(), bucket.tokens);
+        bucket.filledAt = now;
+        return bucket;
+    }
+
+    /** Takes in what another host has admitted. */
+    void peerAdmitted(HostId peer, long incarnation, Map<CustomerName, Long> counts, long now) {
+        PeerUse use = peers.computeIfAbsent(peer, _ -> new PeerUse());
+        boolean sameLife = use.incarnation == incarnation;
+        for (Map.Entry<CustomerName, Long> count : counts.entrySet()) {
+            long before = sameLife ? use.admitted.getOrDefault(count.getKey(), 0L) : 0L;
+            boolean known = sameLife && use.heardAt > 0;
+            double delta = known ? count.getValue() - before : 0;
+            double taken = delta - use.assumed.getOrDefault(count.getKey(), 0.0);
+            Bucket bucket = buckets.get(count.getKey());
+            if (bucket != null) {
+                bucket.tokens -= taken;
+            }
+            if (known && now > use.heardAt) {
+                use.perMilli.put(count.getKey(), Math.max(0, delta) / (now - use.heardAt));
+            }
+        }
+        use.assumed.clear();
+        use.incarnation = incarnation;
+        use.admitted = Map.copyOf(counts);
+        use.heardAt = now;
+    }
+
+    /** Assumes that a silent host went on as before for some time. */
+    void assume(HostId peer, long millis) {
+        PeerUse use = peers.get(peer);
+        if (use == null) {
+            return;
+        }
+        use.perMilli.forEach((customer, perMilli) -> {
+            double taken = perMilli * millis;
+            use.assumed.merge(customer, taken, Double::sum);
+            Bucket bucket = buckets.get(customer);
+            if (bucket != null) {
+                bucket.tokens -= taken;
+            }
+        });
+    }
+
+    /** Forgets a host that has left. */
+    void forget(HostId peer) {
+        peers.remove(peer);
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
@@ -0,0 +1,118 @@
+package org.dragonflymux.core.gateway;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.dragonflymux.core.balance.TargetDirectory;
+import org.dragonflymux.core.balance.TargetState;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+
+/** What the other hosts said last. */
+final class FleetView {
+
+    private static final long SILENT_MILLIS = 1_000;
+
+    private final HostId self;
+    private final TargetDirectory directory;
+    private final FleetQuota quota;
+    private final Map<HostId, Heard> heard = new HashMap<>();
+    private Set<HostId> registered = Set.of();
+
+    private static final class Heard {
+        private PeerReport report;
+        private long at;
+        private long assumedUntil;
+        private boolean silent;
+    }
+
+    FleetView(HostId self, TargetDirectory directory, FleetQuota quota) {
+        this.self = self;
+        this.directory = directory;
+        this.quota = quota;
+    }
+
+    /** Replaces the hosts that are registered. */
+    void registered(Set<HostId> hosts) {
+        registered = Set.copyOf(hosts);
+    }
+
+    /** Returns how many hosts may be sending, this one included. */
+    int hosts() {
+        Set<HostId> all = new HashSet<>(registered);
+        all.addAll(heard.keySet());
+        all.add(self);
+        return all.size();
+    }
+
+    /** Returns how many other hosts' requests wait for a service. */
+    int waiting(ServiceName service) {
+        int sum = 0;
+        for (Heard peer : heard.values()) {
+            sum += peer.silent ? 0 : peer.report.waiting().getOrDefault(service, 0);
+        }
+        return sum;
+    }
+
+    void reported(PeerReport report, long now) {
+        Heard peer = heard.computeIfAbsent(report.from(), _ -> new Heard());
+        Map<TargetId, Integer> before = peer.report == null ? Map.of() : inFlight(peer.report);
+        Map<TargetId, Integer> after = inFlight(report);
+        for (TargetId target : before.keySet()) {
+            if (!after.containsKey(target)) {
+                directory.target(target).ifPresent(state -> state.peerHas(report.from(), 0));
+            }
+        }
+        for (PeerReport.TargetUse use : report.targets()) {
+            directory.target(use.target()).ifPresent(state -> learn(state, use, report.from(), now));
+        }
+        peer.report = report;
+        peer.at = now;
+        peer.assumedUntil = now;
+        peer.silent = false;
+        quota.peerAdmitted(report.from(), report.incarnation(), report.admitted(), now);
+    }
+
+    private static Map<TargetId, Integer> inFlight(PeerReport report) {
+        Map<TargetId, Integer> result = new HashMap<>();
+        for (PeerReport.TargetUse use : report.targets()) {
+            if (use.inFlight() > 0) {
+                result.put(use.target(), use.inFlight());
+            }
+        }
+        return result;
+    }
+
+    private static void learn(TargetState state, PeerReport.TargetUse use, HostId from, long now) {
+        state.peerHas(from, use.inFlight());
+        if (use.done() > 0) {
+            state.learn(use.doneMillis(), use.done());
+        }
+        if (use.slowdownAgeMillis() >= 0) {
+            state.reported(use.slowdownPercent(), now - use.slowdownAgeMillis());
+        }
+    }
+
+    /** Lets go of hosts that say nothing any more. */
+    void tick(long now) {
+        heard.entrySet().removeIf(entry -> {
+            Heard peer = entry.getValue();
+            if (now - peer.at < SILENT_MILLIS) {
+                return false;
+            }
+            if (!peer.silent) {
+                peer.silent = true;
+                directory.forgetPeer(entry.getKey());
+            }
+            if (!registered.contains(entry.getKey())) {
+                quota.forget(entry.getKey());
+                return true;
+            }
+            quota.assume(entry.getKey(), now - peer.assumedUntil);
+            peer.assumedUntil = now;
+            return false;
+        });
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -0,0 +1,578 @@
+package org.dragonflymux.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.dragonflymux.core.balance.ColdPacer;
+import org.dragonflymux.core.balance.LoadReport;
+import org.dragonflymux.core.balance.TargetChoice;
+import org.dragonflymux.core.balance.TargetDirectory;
+import org.dragonflymux.core.balance.TargetState;
+import org.dragonflymux.core.desired.CustomerSpec;
+import org.dragonflymux.core.desired.DesiredState;
+import org.dragonflymux.core.desired.Route;
+import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.desired.WeightedService;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.shard.Assignment;
+import org.dragonflymux.core.shard.KeyRange;
+import org.dragonflymux.core.shard.ShardTable;
+
+/** A host's decisions about requests: whom to admit, what waits, where it goes, what is sent again, what is answered. */
+public final class Gateway {
+
+    private static final long DEADLINE_MARGIN_MILLIS = 10;
+    private static final long RETRY_AFTER_FLOOR_MILLIS = 60;
+    private static final long TARGET_RETURN_MILLIS = 500;
+    private static final long MISDIRECTED_PAUSE_MILLIS = 60;
+    private static final int QUEUED_AT_OWNER = 2;
+    private static final int MAX_UNSENT = 4;
+    /** Which share of the objective a request may wait for a target that can't be reached. */
+    private static final double HOPELESS_SHARE = 0.8;
+
+    private final GatewaySettings settings;
+    private final RandomGenerator random;
+    private final TargetDirectory directory = TargetDirectory.empty();
+    private final FleetQuota quota = new FleetQuota();
+    private final FleetView fleet;
+    private final ColdPacer pacer;
+    private final TargetChoice choice;
+    private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private final Map<Long, Attempt> attempts = new HashMap<>();
+    private final Map<ServiceName, List<Exchange>> waiting = new HashMap<>();
+    private final Map<CustomerName, Integer> customersInFlight = new HashMap<>();
+    private final Map<ServiceName, RetryAllowance> retries = new HashMap<>();
+    private final Map<ServiceName, ShardTable> tables = new HashMap<>();
+    private final Map<ServiceName, List<Integer>> requestedKeys = new HashMap<>();
+    private final PriorityQueue<Exchange> expiry =
+            new PriorityQueue<>(Comparator.comparingLong((Exchange exchange) -> exchange.giveUpAt));
+    private Optional<DesiredState> desired = Optional.empty();
+    private long confirmedAt = Long.MIN_VALUE / 2;
+    private long lastAttempt;
+    private List<GatewayEffect> effects = new ArrayList<>();
+
+    private Gateway(GatewaySettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+        this.fleet = new FleetView(settings.host(), directory, quota);
+        this.pacer = ColdPacer.of(fleet::hosts);
+        this.choice = TargetChoice.of(directory, pacer, settings.domain(), random);
+    }
+
+    /** Returns the gateway of a host that knows nothing yet. */
+    public static Gateway of(GatewaySettings settings, RandomGenerator random) {
+        return new Gateway(settings, random);
+    }
+
+    public TargetDirectory directory() {
+        return directory;
+    }
+
+    public Optional<DesiredState> desired() {
+        return desired;
+    }
+
+    public int openExchanges() {
+        return exchanges.size();
+    }
+
+    /** Returns for how long the view of the store hasn't been confirmed. */
+    public long staleMillis(long now) {
+        return now - confirmedAt;
+    }
+
+    /** Returns whether callers are to be sent here. */
+    public boolean ready(long now) {
+        return desired.isPresent() && (!desired.get().credentialsRequired() || fresh(now));
+    }
+
+    private boolean fresh(long now) {
+        return staleMillis(now) <= settings.maxStaleMillis();
+    }
+
+    private List<GatewayEffect> taken() {
+        List<GatewayEffect> result = effects;
+        effects = new ArrayList<>();
+        return result;
+    }
+
+    /** Takes in that the store had nothing newer at the given time. */
+    public void storeConfirmed(long at) {
+        confirmedAt = Math.max(confirmedAt, at);
+    }
+
+    /** Takes in a desired state; an older one than the present is ignored. */
+    public void desiredState(DesiredState newer) {
+        if (desired.isPresent() && desired.get().version() >= newer.version()) {
+            return;
+        }
+        desired = Optional.of(newer);
+        pacer.services(newer.services());
+    }
+
+    /** Takes in who owns a service's keys. */
+    public List<GatewayEffect> shardTable(ServiceName service, ShardTable table, long now) {
+        tables.put(service, table);
+        dispatch(service, now);
+        return taken();
+    }
+
+    /** Takes in which hosts are registered. */
+    public void hosts(Set<HostId> registered) {
+        fleet.registered(registered);
+    }
+
+    /** Takes in what another host says. */
+    public List<GatewayEffect> reported(PeerReport report, long now) {
+        fleet.reported(report, now);
+        if (desired.isPresent() && report.stateVersion() <= desired.get().version()) {
+            storeConfirmed(now - report.staleMillis());
+        }
+        dispatchAll(now);
+        return taken();
+    }
+
+    /** Returns what this host tells the others. */
+    public PeerReport report(long now) {
+        List<PeerReport.TargetUse> uses = new ArrayList<>();
+        for (TargetState target : directory.all()) {
+            TargetState.Completions done = target.takeCompletions();
+            if (target.inFlight() > 0 || done.count() > 0) {
+                long age = now - target.slowdownAt();
+                uses.add(new PeerReport.TargetUse(
+                        target.entry().id(),
+                        target.inFlight(),
+                        done.count(),
+                        (int) Math.round(done.meanMillis()),
+                        target.slowdownPercent(),
+                        age < 1_000 ? (int) age : -1));
+            }
+        }
+        Map<ServiceName, Integer> queued = new HashMap<>();
+        waiting.forEach((service, list) -> queued.put(service, list.size()));
+        Map<ServiceName, int[]> keys = new HashMap<>();
+        requestedKeys.forEach((service, list) ->
+                keys.put(service, list.stream().mapToInt(Integer::intValue).toArray()));
+        requestedKeys.clear();
+        return new PeerReport(
+                settings.host(),
+                settings.incarnation(),
+                desired.map(DesiredState::version).orElse(0L),
+                Math.max(0, Math.min(Integer.MAX_VALUE, staleMillis(now))),
+                uses,
+                Map.copyOf(quota.admitted()),
+                queued,
+                keys);
+    }
+
+    /** Takes in a request. */
+    public List<GatewayEffect> arrived(ArrivedRequest request, long now) {
+        admit(request, now);
+        return taken();
+    }
+
+    private void admit(ArrivedRequest request, long now) {
+        if (desired.isEmpty()) {
+            refuse(request, RefusalReason.NO_DESIRED_STATE, TARGET_RETURN_MILLIS);
+            return;
+        }
+        DesiredState state = desired.get();
+        Optional<Route> route = state.route(request.hostName(), request.path());
+        if (route.isEmpty()) {
+            refuse(request, RefusalReason.NO_ROUTE, 0);
+            return;
+        }
+        Optional<CustomerSpec> customer = Optional.empty();
+        if (state.credentialsRequired() && !route.get().open()) {
+            customer = request.credential().flatMap(state::customer);
+            if (!fresh(now)) {
+                refuse(request, RefusalReason.STALE_CREDENTIALS, TARGET_RETURN_MILLIS);
+                return;
+            }
+            if (customer.isEmpty()) {
+                refuse(request, RefusalReason.UNKNOWN_CREDENTIAL, 0);
+                return;
+            }
+        }
+        admit(request, route.get(), customer, now);
+    }
+
+    private void admit(ArrivedRequest request, Route route, Optional<CustomerSpec> customer, long now) {
+        ServiceSpec service = chooseService(route);
+        if (service == null) {
+            refuse(request, RefusalReason.NO_TARGET, TARGET_RETURN_MILLIS);
+            return;
+        }
+        long patience = request.waitMillis().orElse(Long.MAX_VALUE / 4) - DEADLINE_MARGIN_MILLIS;
+        long giveUpAt = now + Math.max(1, Math.min(patience, route.timeoutMillis()));
+        Exchange exchange = new Exchange(request, route, service, customer, now, giveUpAt);
+        if (service.sharded()) {
+            if (exchange.shardKey() < KeyRange.MIN_KEY || exchange.shardKey() > KeyRange.MAX_KEY) {
+                refuse(request, RefusalReason.NO_SHARD_KEY, 0);
+                return;
+            }
+            requestedKeys
+                    .computeIfAbsent(service.name(), _ -> new ArrayList<>())
+                    .add(exchange.shardKey());
+        }
+        retries(service.name(), now).requestArrived();
+        double wait = expectedWait(exchange, now);
+        if (wait > longestWait(exchange, now)) {
+            refuse(request, RefusalReason.OVERLOADED, comeBackAfter(exchange, wait));
+            return;
+        }
+        if (customer.isPresent()) {
+            long untilToken = quota.take(customer.get(), fleet.hosts(), now);
+            if (untilToken > 0) {
+                refuse(request, RefusalReason.OVER_RATE, spread(untilToken));
+                return;
+            }
+        }
+        exchanges.put(request.exchange(), exchange);
+        expiry.add(exchange);
+        enqueue(exchange);
+        dispatch(service.name(), now);
+    }
+
+    private ServiceSpec chooseService(Route route) {
+        DesiredState state = desired.orElseThrow();
+        double total = route.services().stream()
+                .mapToDouble(WeightedService::weight)
+                .sum();
+        double drawn = random.nextDouble() * total;
+        for (WeightedService part : route.services()) {
+            drawn -= part.weight();
+            if (drawn < 0) {
+                return state.services().get(part.service());
+            }
+        }
+        return route.services().isEmpty()
+                ? null
+                : state.services().get(route.services().getLast().service());
+    }
+
+    private long longestWait(Exchange exchange, long now) {
+        double work = directory.meanServiceMillis(exchange.service.name());
+        long objective = exchange.route.objectiveMillis();
+        long left = exchange.giveUpAt - now;
+        return (long) Math.max(0, Math.min(left - work, Math.max(objective - work, objective * 0.3)));
+    }
+
+    private long comeBackAfter(Exchange exchange, double wait) {
+        return spread((long) Math.max(RETRY_AFTER_FLOOR_MILLIS, wait - exchange.route.objectiveMillis() * 0.3));
+    }
+
+    private long spread(long millis) {
+        return (long) (millis * (1 + 0.5 * random.nextDouble()));
+    }
+
+    /** Returns how long a request would wait until a target begins to work on it, in milliseconds. */
+    private double expectedWait(Exchange exchange, long now) {
+        ServiceName service = exchange.service.name();
+        if (exchange.service.sharded()) {
+            Optional<TargetState> owner = owner(exchange).flatMap(a -> directory.target(a.owner()));
+            return owner.map(target -> expectedWaitAtOwner(exchange, target, now))
+                    .orElse(0.0);
+        }
+        double guess = directory.meanServiceMillis(service);
+        double perMilli = 0;
+        double room = 0;
+        for (TargetState target : directory.of(service)) {
+            if (choice.usable(target, now)) {
+                perMilli += target.entry().slots() / (target.serviceMillis(guess) * target.slowdown(now));
+                room += target.entry().slots() - target.busy();
+            }
+        }
+        double ahead = ahead(exchange) + fleet.waiting(service) + 1 - room;
+        return ahead <= 0 ? 0 : perMilli == 0 ? Double.MAX_VALUE : ahead / perMilli;
+    }
+
+    private double expectedWaitAtOwner(Exchange exchange, TargetState target, long now) {
+        double guess = directory.meanServiceMillis(exchange.service.name());
+        double perMilli = target.entry().slots() / (target.serviceMillis(guess) * target.slowdown(now));
+        long ahead = waitingFor(exchange.service.name()).stream()
+                .filter(other -> other.priority <= exchange.priority)
+                .filter(other -> owner(other)
+                        .filter(a -> a.owner().equals(target.entry().id()))
+                        .isPresent())
+                .count();
+        double full = ahead * Math.max(1.0, fleet.hosts() / 2.0) + target.busy() + 1 - target.entry().slots();
+        return full <= 0 ? 0 : full / perMilli;
+    }
+
+    private long ahead(Exchange exchange) {
+        return waitingFor(exchange.service.name()).stream()
+                .filter(other -> other.priority <= exchange.priority)
+                .count();
+    }
+
+    private List<Exchange> waitingFor(ServiceName service) {
+        return waiting.getOrDefault(service, List.of());
+    }
+
+    private Optional<Assignment> owner(Exchange exchange) {
+        ShardTable table = tables.get(exchange.service.name());
+        return table == null ? Optional.empty() : table.owner(exchange.shardKey());
+    }
+
+    private RetryAllowance retries(ServiceName service, long now) {
+        return retries.computeIfAbsent(service, _ -> new RetryAllowance(settings, fleet::hosts, now));
+    }
+
+    private void enqueue(Exchange exchange) {
+        exchange.waiting = true;
+        waiting.computeIfAbsent(exchange.service.name(), _ -> new ArrayList<>()).add(exchange);
+    }
+
+    private void dispatchAll(long now) {
+        for (ServiceName service : List.copyOf(waiting.keySet())) {
+            dispatch(service, now);
+        }
+    }
+
+    private void dispatch(ServiceName service, long now) {
+        List<Exchange> list = waiting.get(service);
+        if (list == null || list.isEmpty()) {
+            return;
+        }
+        if (list.size() > 1) {
+            list.sort(Comparator.comparingInt((Exchange exchange) -> exchange.priority)
+                    .thenComparingInt(this::inFlightOfCustomer)
+                    .thenComparingLong(exchange -> exchange.arrivedAt));
+        }
+        list.removeIf(exchange -> {
+            if (exchange.done) {
+                return true;
+            }
+            Optional<TargetState> target = now < exchange.retryAt ? Optional.empty() : target(exchange, now);
+            target.ifPresent(state -> send(exchange, state, now));
+            return target.isPresent();
+        });
+    }
+
+    private int inFlightOfCustomer(Exchange exchange) {
+        return exchange.customer
+                .map(customer -> customersInFlight.getOrDefault(customer.name(), 0))
+                .orElse(0);
+    }
+
+    private Optional<TargetState> target(Exchange exchange, long now) {
+        if (!exchange.service.sharded()) {
+            return choice.best(exchange.service.name(), exchange.tried, exchange.route.largeAnswers(), now);
+        }
+        return owner(exchange)
+                .filter(assignment -> assignment.move().isEmpty())
+                .flatMap(assignment -> directory
+                        .target(assignment.owner())
+                        .filter(target -> target.entry().incarnation() == assignment.incarnation()))
+                .filter(target -> choice.usable(target, now))
+                .filter(target -> target.busy() < target.entry().slots() + QUEUED_AT_OWNER);
+    }
+
+    private void send(Exchange exchange, TargetState target, long now) {
+        exchange.waiting = false;
+        exchange.attempts++;
+        exchange.tried.add(target.entry().id());
+        target.sent(now);
+        Attempt attempt = new Attempt(++lastAttempt, exchange, target, now, target.busy());
+        attempts.put(attempt.number(), attempt);
+        exchange.running.add(attempt);
+        exchange.customer.ifPresent(customer -> customersInFlight.merge(customer.name(), 1, Integer::sum));
+        effects.add(new GatewayEffect.Send(
+                attempt.number(),
+                exchange.request.exchange(),
+                target.entry(),
+                Math.max(1, exchange.giveUpAt - now),
+                exchange.customer.map(CustomerSpec::name),
+                exchange.route.repeatable()));
+    }
+
+    /** Takes in what a target says of its load. */
+    public void loadReported(TargetId id, LoadReport report, long now) {
+        directory.target(id).ifPresent(target -> target.reported(report.slowdownPercent(), now));
+    }
+
+    /** Takes in that a target is cold. */
+    public void coldReported(TargetId id, long millis, long now) {
+        directory.target(id).ifPresent(target -> target.becameCold(millis, now));
+    }
+
+    /** Takes in how an attempt ended. */
+    public List<GatewayEffect> ended(long number, AttemptResult result, long now) {
+        Attempt attempt = forget(number);
+        if (attempt != null) {
+            ended(attempt, result, now);
+            dispatch(attempt.exchange().service.name(), now);
+        }
+        return taken();
+    }
+
+    private Attempt forget(long number) {
+        Attempt attempt = attempts.remove(number);
+        if (attempt != null) {
+            attempt.target().ended();
+            attempt.exchange().running.remove(attempt);
+            attempt.exchange().customer.ifPresent(customer ->
+                    customersInFlight.computeIfPresent(customer.name(), (_, count) -> count > 1 ? count - 1 : null));
+        }
+        return attempt;
+    }
+
+    private void ended(Attempt attempt, AttemptResult result, long now) {
+        Exchange exchange = attempt.exchange();
+        TargetState target = attempt.target();
+        switch (result) {
+            case AttemptResult.Answered answered -> answered(attempt, answered.grade(), now);
+            case AttemptResult.NotRun notRun -> {
+                if (notRun.misdirected()) {
+                    exchange.retryAt = now + MISDIRECTED_PAUSE_MILLIS;
+                } else {
+                    target.failed(false, now);
+                }
+                retryOrRefuse(exchange, RefusalReason.TURNED_AWAY, now);
+            }
+            case AttemptResult.NotSent _ -> {
+                target.failed(true, now);
+                exchange.attempts--;
+                if (exchange.tried.size() < MAX_UNSENT || exchange.service.sharded()) {
+                    enqueue(exchange);
+                } else {
+                    finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS), now);
+                }
+            }
+            case AttemptResult.Lost _ -> {
+                target.failed(false, now);
+                exchange.mayHaveRun = true;
+                retryOrRefuse(exchange, RefusalReason.LOST_ANSWER, now);
+            }
+        }
+    }
+
+    private void answered(Attempt attempt, AttemptResult.Grade grade, long now) {
+        Exchange exchange = attempt.exchange();
+        switch (grade) {
+            case SUCCESS -> {
+                attempt.target().succeeded(now - attempt.sentAt(), attempt.busyAtSend());
+                deliver(exchange, attempt);
+            }
+            case REPLY -> deliver(exchange, attempt);
+            case TARGET_ERROR -> {
+                attempt.target().failed(false, now);
+                exchange.mayHaveRun = true;
+                boolean again = exchange.running.isEmpty()
+                        && exchange.mayRetry()
+                        && !exchange.done
+                        && !exchange.service.sharded()
+                        && retries(exchange.service.name(), now).trySpend(now);
+                if (again) {
+                    enqueue(exchange);
+                } else if (exchange.running.isEmpty()) {
+                    deliver(exchange, attempt);
+                }
+            }
+        }
+    }
+
+    private void deliver(Exchange exchange, Attempt attempt) {
+        if (exchange.done) {
+            return;
+        }
+        effects.add(new GatewayEffect.Deliver(exchange.request.exchange(), attempt.number()));
+        close(exchange);
+    }
+
+    private void retryOrRefuse(Exchange exchange, RefusalReason reason, long now) {
+        if (exchange.done || !exchange.running.isEmpty()) {
+            return;
+        }
+        if (exchange.mayRetry() && retries(exchange.service.name(), now).trySpend(now)) {
+            enqueue(exchange);
+            return;
+        }
+        long comeBack = Math.max(RETRY_AFTER_FLOOR_MILLIS, (long) expectedWait(exchange, now));
+        finish(exchange, exchange.mayHaveRun ? RefusalReason.LOST_ANSWER : reason, spread(comeBack), now);
+    }
+
+    private void finish(Exchange exchange, RefusalReason reason, long retryAfter, long now) {
+        if (exchange.done) {
+            return;
+        }
+        effects.add(new GatewayEffect.Refuse(exchange.request.exchange(), reason, retryAfter));
+        if (!exchange.mayHaveRun && exchange.running.isEmpty()) {
+            exchange.customer.filter(CustomerSpec::limited).ifPresent(customer -> quota.giveBack(customer.name()));
+        }
+        close(exchange);
+    }
+
+    private void close(Exchange exchange) {
+        exchange.done = true;
+        exchanges.remove(exchange.request.exchange());
+        for (Attempt other : List.copyOf(exchange.running)) {
+            forget(other.number());
+            effects.add(new GatewayEffect.Cancel(other.number()));
+        }
+        if (exchange.waiting) {
+            waitingFor(exchange.service.name()).remove(exchange);
+            exchange.waiting = false;
+        }
+    }
+
+    private void refuse(ArrivedRequest request, RefusalReason reason, long retryAfterMillis) {
+        effects.add(new GatewayEffect.Refuse(request.exchange(), reason, retryAfterMillis));
+    }
+
+    /** Takes in that a caller has gone away. */
+    public List<GatewayEffect> abandoned(long exchangeNumber, long now) {
+        Exchange exchange = exchanges.get(exchangeNumber);
+        if (exchange != null) {
+            close(exchange);
+            dispatch(exchange.service.name(), now);
+        }
+        return taken();
+    }
+
+    /** Does what is due. */
+    public List<GatewayEffect> tick(long now) {
+        fleet.tick(now);
+        while (!expiry.isEmpty() && (expiry.peek().done || expiry.peek().giveUpAt <= now)) {
+            expired(expiry.poll(), now);
+        }
+        refuseHopeless(now);
+        dispatchAll(now);
+        return taken();
+    }
+
+    private void expired(Exchange exchange, long now) {
+        if (exchange.done) {
+            return;
+        }
+        boolean unsent = exchange.running.isEmpty() && !exchange.mayHaveRun;
+        finish(
+                exchange,
+                unsent ? RefusalReason.EXPIRED_UNSENT : RefusalReason.EXPIRED,
+                unsent ? spread(RETRY_AFTER_FLOOR_MILLIS) : 0,
+                now);
+    }
+
+    /** Refuses what has waited so long that coming back later serves the caller better. */
+    private void refuseHopeless(long now) {
+        for (List<Exchange> list : List.copyOf(waiting.values())) {
+            for (Exchange exchange : List.copyOf(list)) {
+                double longest = exchange.route.objectiveMillis() * HOPELESS_SHARE;
+                if (now - exchange.arrivedAt > longest && exchange.attempts == 0) {
+                    finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS / 2), now);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewayEffect.java
@@ -0,0 +1,52 @@
+package org.dragonflymux.core.gateway;
+
+import java.util.Optional;
+import org.dragonflymux.core.balance.TargetEntry;
+import org.dragonflymux.core.name.CustomerName;
+
+/** What the gateway wants done. */
+public sealed interface GatewayEffect {
+
+    /**
+     * Send a request to a target.
+     *
+     * @param attempt names the attempt in its result
+     * @param exchange the request
+     * @param target where to send it
+     * @param remainingMillis how long the target may take
+     * @param customer whose request it is
+     * @param repeatable whether it may run more than once
+     */
+    record Send(
+            long attempt,
+            long exchange,
+            TargetEntry target,
+            long remainingMillis,
+            Optional<CustomerName> customer,
+            boolean repeatable)
+            implements GatewayEffect {}
+
+    /**
+     * Break an attempt off; its result isn't wanted any more.
+     *
+     * @param attempt the attempt
+     */
+    record Cancel(long attempt) implements GatewayEffect {}
+
+    /**
+     * Hand the answer of an attempt on to the caller.
+     *
+     * @param exchange the request
+     * @param attempt the attempt
+     */
+    record Deliver(long exchange, long attempt) implements GatewayEffect {}
+
+    /**
+     * Answer a request without a target's answer.
+     *
+     * @param exchange the request
+     * @param reason why
+     * @param retryAfterMillis when to come back, 0 where that makes no difference
+     */
+    record Refuse(long exchange, RefusalReason reason, long retryAfterMillis) implements GatewayEffect {}
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -0,0 +1,256 @@
+package org.dragonflymux.core.shard;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dragonflymux.core.name.TargetId;
+
+/**
+ * Plans which keys move: away from targets that can't own any, and from crowded targets to those with room. Of crowded
+ * targets the narrowest busy ranges move first, since a move costs by the number of its keys.
+ */
+public final class ShardPlanner {
+
+    private static final int MAX_BALANCING_MOVES = 6;
+    private static final int MAX_MOVES_AT_ONCE = 64;
+    private static final double CROWDED = 0.55;
+    private static final double IMBALANCE = 1.3;
+    private static final double MIN_GAIN = 0.12;
+    private static final int PIECES_WITHOUT_LOAD = 4;
+    private static final double PIECES_PER_TARGET = 3;
+
+    private ShardPlanner() {}
+
+    /**
+     * A range that is to move.
+     *
+     * @param range part of one assignment
+     * @param to the next owner
+     */
+    public record PlannedMove(KeyRange range, TargetId to) {}
+
+    /** Returns the first table: keys in equal parts by what targets bear. */
+    public static ShardTable initial(List<PlanTarget> targets) {
+        List<PlanTarget> usable = targets.stream()
+                .filter(PlanTarget::usable)
+                .sorted(Comparator.comparing(PlanTarget::id))
+                .toList();
+        double total = usable.stream().mapToDouble(PlanTarget::perSecond).sum();
+        ShardTable table = ShardTable.EMPTY;
+        double before = 0;
+        int first = KeyRange.MIN_KEY;
+        for (int i = 0; i < usable.size(); i++) {
+            before += usable.get(i).perSecond();
+            int last = i == usable.size() - 1
+                    ? KeyRange.MAX_KEY
+                    : (int) Math.round(before / total * KeyRange.ALL.size()) - 1;
+            if (last >= first) {
+                PlanTarget target = usable.get(i);
+                table = table.with(new Assignment(
+                        new KeyRange(first, last), target.id(), target.incarnation(), i + 1L, Optional.empty()));
+                first = last + 1;
+            }
+        }
+        return table;
+    }
+
+    /** Returns what is to move now. */
+    public static List<PlannedMove> plan(ShardTable table, List<PlanTarget> targets, KeyLoad.Snapshot load) {
+        return new Planning(table, targets, load).plan();
+    }
+
+    /** One run of the planner. */
+    private static final class Planning {
+
+        private final ShardTable table;
+        private final KeyLoad.Snapshot load;
+        private final Map<TargetId, PlanTarget> targets = new HashMap<>();
+        private final Map<TargetId, Double> perSecond = new HashMap<>();
+        private final Map<TargetId, Integer> keys = new HashMap<>();
+        private final List<PlannedMove> moves = new ArrayList<>();
+        private final Map<TargetId, List<Assignment>> settled = new HashMap<>();
+        private int moving;
+
+        Planning(ShardTable table, List<PlanTarget> targets, KeyLoad.Snapshot load) {
+            this.table = table;
+            this.load = load;
+            for (PlanTarget target : targets) {
+                this.targets.put(target.id(), target);
+                perSecond.put(target.id(), 0.0);
+                keys.put(target.id(), 0);
+            }
+        }
+
+        List<PlannedMove> plan() {
+            countLoads();
+            evacuateUnusable();
+            if (moves.isEmpty()) {
+                balance();
+            }
+            return moves;
+        }
+
+        private void countLoads() {
+            for (Assignment assignment : table.assignments()) {
+                TargetId holder = assignment.move().map(Move::to).orElse(assignment.owner());
+                perSecond.merge(holder, load.perSecond(assignment.range()), Double::sum);
+                keys.merge(holder, assignment.range().size(), Integer::sum);
+                if (assignment.move().isPresent()) {
+                    moving++;
+                } else {
+                    settled.computeIfAbsent(assignment.owner(), _ -> new ArrayList<>())
+                            .add(assignment);
+                }
+            }
+        }
+
+        private boolean ownerUsable(Assignment assignment) {
+            PlanTarget owner = targets.get(assignment.owner());
+            return owner != null && owner.usable() && owner.incarnation() == assignment.incarnation();
+        }
+
+        private void evacuateUnusable() {
+            double total = perSecond.values().stream()
+                    .mapToDouble(Double::doubleValue)
+                    .sum();
+            long usable = targets.values().stream().filter(PlanTarget::usable).count();
+            if (usable == 0) {
+                return;
+            }
+            double quantum = total / usable / PIECES_PER_TARGET;
+            for (Assignment assignment : table.assignments()) {
+                if (assignment.move().isEmpty() && !ownerUsable(assignment)) {
+                    for (KeyRange piece : pieces(assignment.range(), quantum)) {
+                        if (moving + moves.size() < MAX_MOVES_AT_ONCE) {
+                            leastUsed(assignment.owner()).ifPresent(to -> move(piece, assignment.owner(), to.id()));
+                        }
+                    }
+                }
+            }
+        }
+
+        private List<KeyRange> pieces(KeyRange range, double quantum) {
+            double inRange = load.perSecond(range);
+            int count = inRange <= 0 || quantum <= 0
+                    ? PIECES_WITHOUT_LOAD
+                    : Math.clamp((long) Math.ceil(inRange / quantum), 1, targets.size());
+            count = Math.min(count, range.size());
+            List<KeyRange> result = new ArrayList<>();
+            int first = range.first();
+            int begin = load.indexOf(range.first());
+            int end = load.indexOf(range.last() + 1);
+            for (int i = 1; i <= count && first <= range.last(); i++) {
+                int last = i == count ? range.last() : cut(range, begin, end, i, count);
+                last = Math.clamp(last, first, range.last());
+                result.add(new KeyRange(first, last));
+                first = last + 1;
+            }
+            return result;
+        }
+
+        private int cut(KeyRange range, int begin, int end, int part, int parts) {
+            if (end - begin < parts) {
+                return range.first() + (int) ((long) range.size() * part / parts) - 1;
+            }
+            return load.sortedKeys()[begin + (int) ((long) (end - begin) * part / parts) - 1];
+        }
+
+        private double use(TargetId id) {
+            PlanTarget target = targets.get(id);
+            return target == null ? 0 : perSecond.get(id) / Math.max(0.1, target.perSecond());
+        }
+
+        private Optional<PlanTarget> leastUsed(TargetId except) {
+            return targets.values().stream()
+                    .filter(PlanTarget::usable)
+                    .filter(target -> !target.id().equals(except))
+                    .min(Comparator.comparingDouble((PlanTarget target) -> use(target.id()))
+                            .thenComparing(target -> keys.get(target.id()))
+                            .thenComparing(PlanTarget::id));
+        }
+
+        private void move(KeyRange range, TargetId from, TargetId to) {
+            moves.add(new PlannedMove(range, to));
+            double moved = load.perSecond(range);
+            perSecond.merge(from, -moved, Double::sum);
+            perSecond.merge(to, moved, Double::sum);
+            keys.merge(from, -range.size(), Integer::sum);
+            keys.merge(to, range.size(), Integer::sum);
+        }
+
+        private void balance() {
+            if (targets.values().stream().filter(PlanTarget::usable).count() < 2) {
+                return;
+            }
+            for (int i = 0; i < MAX_BALANCING_MOVES && moving + moves.size() < MAX_MOVES_AT_ONCE; i++) {
+                if (!balanceOnce()) {
+                    return;
+                }
+            }
+        }
+
+        private boolean balanceOnce() {
+            TargetId hottest = targets.values().stream()
+                    .filter(target -> settled.containsKey(target.id()))
+                    .map(PlanTarget::id)
+                    .max(Comparator.comparingDouble(this::use).thenComparing(Comparator.naturalOrder()))
+                    .orElse(null);
+            if (hottest == null) {
+                return false;
+            }
+            PlanTarget coolest = leastUsed(hottest).orElse(null);
+            if (coolest == null || !worthwhile(hottest, coolest.id())) {
+                return false;
+            }
+            double excess = perSecond.get(hottest)
+                    - (perSecond.get(hottest) + perSecond.get(coolest.id()))
+                            * targets.get(hottest).perSecond()
+                            / (targets.get(hottest).perSecond() + coolest.perSecond());
+            Optional<KeyRange> range = narrowest(hottest, excess);
+            if (range.isEmpty()) {
+                return false;
+            }
+            double after = (perSecond.get(coolest.id()) + load.perSecond(range.get())) / coolest.perSecond();
+            if (use(hottest) - after < MIN_GAIN) {
+                settled.remove(hottest);
+                return true;
+            }
+            settled.remove(hottest);
+            move(range.get(), hottest, coolest.id());
+            return true;
+        }
+
+        private boolean worthwhile(TargetId hottest, TargetId coolest) {
+            double most = use(hottest);
+            return most > CROWDED && most > IMBALANCE * use(coolest) && most - use(coolest) > MIN_GAIN
+                    || keys.get(coolest) == 0 && most > 0;
+        }
+
+        /** Returns the range with the fewest keys that carries at most the given load, but nearly that much. */
+        private Optional<KeyRange> narrowest(TargetId from, double wantedPerSecond) {
+            int wanted = (int) (wantedPerSecond / load.perSecond());
+            KeyRange best = null;
+            for (Assignment assignment : settled.get(from)) {
+                int begin = load.indexOf(assignment.range().first());
+                int end = load.indexOf(assignment.range().last() + 1);
+                int count = Math.min(wanted, end - begin);
+                for (int i = begin; count > 0 && i + count <= end; i++) {
+                    KeyRange candidate = new KeyRange(load.sortedKeys()[i], load.sortedKeys()[i + count - 1]);
+                    if (best == null || better(candidate, best)) {
+                        best = candidate;
+                    }
+                }
+            }
+            return Optional.ofNullable(best);
+        }
+
+        private boolean better(KeyRange candidate, KeyRange best) {
+            double loadOfCandidate = load.perSecond(candidate);
+            double loadOfBest = load.perSecond(best);
+            return loadOfCandidate / (candidate.size() + 8.0) > loadOfBest / (best.size() + 8.0);
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardTable.java
@@ -0,0 +1,83 @@
+package org.dragonflymux.core.shard;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The owners of all shard keys of a service.
+ *
+ * @param lastFence the highest fencing token given out so far
+ * @param assignments in the order of their keys, without overlap
+ */
+public record ShardTable(long lastFence, List<Assignment> assignments) {
+
+    /** A table in which no key has an owner. */
+    public static final ShardTable EMPTY = new ShardTable(0, List.of());
+
+    /** Creates a table that can't be changed afterwards; neighbours with the same ownership are joined. */
+    public ShardTable {
+        assignments = joined(assignments);
+    }
+
+    private static List<Assignment> joined(List<Assignment> assignments) {
+        List<Assignment> sorted = new ArrayList<>(assignments);
+        sorted.sort(Comparator.comparing(Assignment::range));
+        List<Assignment> result = new ArrayList<>();
+        for (Assignment next : sorted) {
+            Assignment last = result.isEmpty() ? null : result.getLast();
+            if (last != null && last.range().last() + 1 == next.range().first() && last.sameOwnership(next)) {
+                result.set(
+                        result.size() - 1,
+                        last.part(new KeyRange(last.range().first(), next.range().last())));
+            } else {
+                result.add(next);
+            }
+        }
+        return List.copyOf(result);
+    }
+
+    /** Returns who owns a key, if anyone. */
+    public Optional<Assignment> owner(int key) {
+        int low = 0;
+        int high = assignments.size() - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            Assignment candidate = assignments.get(middle);
+            if (key < candidate.range().first()) {
+                high = middle - 1;
+            } else if (key > candidate.range().last()) {
+                low = middle + 1;
+            } else {
+                return Optional.of(candidate);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the table with the given ownership of a range, in place of whoever owned its keys. */
+    public ShardTable with(Assignment change) {
+        List<Assignment> result = new ArrayList<>();
+        for (Assignment assignment : assignments) {
+            KeyRange range = assignment.range();
+            KeyRange changed = change.range();
+            if (range.last() < changed.first() || range.first() > changed.last()) {
+                result.add(assignment);
+                continue;
+            }
+            if (range.first() < changed.first()) {
+                result.add(assignment.part(new KeyRange(range.first(), changed.first() - 1)));
+            }
+            if (range.last() > changed.last()) {
+                result.add(assignment.part(new KeyRange(changed.last() + 1, range.last())));
+            }
+        }
+        result.add(change);
+        return new ShardTable(
+                Math.max(
+                        lastFence,
+                        Math.max(change.fence(), change.move().map(Move::fence).orElse(0L))),
+                result);
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -0,0 +1,289 @@
+package org.dragonflymux.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflymux.core.balance.EntryRetention;
+import org.dragonflymux.core.balance.TargetEntry;
+import org.dragonflymux.core.desired.DesiredState;
+import org.dragonflymux.core.desired.RequestLimits;
+import org.dragonflymux.core.gateway.Gateway;
+import org.dragonflymux.core.gateway.PeerReport;
+import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.MembershipDuty;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.shard.ShardTable;
+import org.dragonflymux.gateway.caller.CallerServer;
+import org.dragonflymux.gateway.control.ControlLoop;
+import org.dragonflymux.gateway.control.FleetRecords;
+import org.dragonflymux.gateway.control.GrantClient;
+import org.dragonflymux.gateway.http.ConnectionPool;
+import org.dragonflymux.gateway.peer.PeerSocket;
+import org.dragonflymux.gateway.store.RecordDecoder;
+import org.dragonflymux.gateway.store.StoreClient;
+import org.dragonflymux.gateway.store.StoreMirror;
+import org.dragonflymux.gateway.store.StoreRecord;
+import org.dragonflymux.gateway.store.StoredItem;
+
+/** A gateway's sockets and timers, all on one loop. */
+public final class GatewayProcess {
+
+    private static final Logger LOG = LogManager.getLogger(GatewayProcess.class);
+    private static final int MAX_ANSWER_BYTES = 64 << 20;
+    private static final long TICK_MILLIS = 20;
+    private static final long CONTROL_TICK_MILLIS = 50;
+    private static final long REPORT_MILLIS = 125;
+    private static final long WATCH_MILLIS = 2_000;
+    private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
+    private static final RequestLimits FIRST_LIMITS = new RequestLimits(16_384, 1 << 20, 5_000, 15_000);
+
+    private final GatewayOptions options;
+    private final EventLoop loop;
+    private final RecordDecoder decoder;
+    private final StoreClient store;
+    private final Gateway gateway;
+    private final RequestPath requests;
+    private final CallerServer callers;
+    private final ControlLoop control;
+    private final ConnectionPool pool;
+    private final EntryRetention retention = EntryRetention.empty();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Set<String> unreadable = new HashSet<>();
+    private Collection<InetSocketAddress> peers = List.of();
+    private PeerSocket peerSocket;
+    private boolean stopping;
+
+    private GatewayProcess(
+            GatewayOptions options,
+            EventLoop loop,
+            WireNames names,
+            RecordDecoder decoder,
+            Function<EventLoop, StoreClient> stores,
+            BiFunction<ConnectionPool, WireNames, GrantClient> grants) {
+        this.options = options;
+        this.loop = loop;
+        this.decoder = decoder;
+        this.store = stores.apply(loop);
+        var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        this.gateway = Gateway.of(options.gateway(), random::nextLong);
+        this.pool = ConnectionPool.on(loop, MAX_ANSWER_BYTES);
+        this.requests = new RequestPath(gateway, pool, names, GatewayProcess::now);
+        this.callers = CallerServer.on(loop, requests, this::limits);
+        this.control = ControlLoop.of(
+                store,
+                grants.apply(pool, names),
+                MembershipDuty.of(options.self(), options.grants().predecessorRenews()),
+                options.grants(),
+                gateway.directory(),
+                GatewayProcess::now,
+                new ControlObserver());
+    }
+
+    /**
+     * Starts a gateway.
+     *
+     * @param names the header names in use
+     * @param decoder reads what others keep in the store
+     * @param stores returns the store's client on a loop
+     * @param grants returns the client for targets' grants
+     */
+    public static GatewayProcess start(
+            GatewayOptions options,
+            WireNames names,
+            RecordDecoder decoder,
+            Function<EventLoop, StoreClient> stores,
+            BiFunction<ConnectionPool, WireNames, GrantClient> grants) {
+        EventLoop loop = new NioEventLoopGroup(1).next();
+        GatewayProcess process = new GatewayProcess(options, loop, names, decoder, stores, grants);
+        process.listen();
+        return process;
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private RequestLimits limits() {
+        return gateway.desired().map(DesiredState::limits).orElse(FIRST_LIMITS);
+    }
+
+    private void listen() {
+        peerSocket = PeerSocket.open(loop, options.peers(), this::peerReported);
+        ReadinessServer.listen(loop, options.readiness(), () -> !stopping && gateway.ready(now()));
+        callers.listen(options.callers());
+        for (String prefix : decoder.prefixes()) {
+            StoreMirror.start(loop, store, prefix, WATCH_MILLIS, GatewayProcess::now, new MirrorListener());
+        }
+        every(TICK_MILLIS, () -> requests.run(gateway.tick(now())));
+        every(CONTROL_TICK_MILLIS, this::controlTick);
+        every(REPORT_MILLIS, this::report);
+        every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
+        LOG.info(
+                "event=started host={} incarnation={}",
+                options.self().host(),
+                options.self().incarnation());
+    }
+
+    private void every(long millis, Runnable action) {
+        loop.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        action.run();
+                    } catch (RuntimeException failure) {
+                        LOG.error("event=timer_failed", failure);
+                    }
+                },
+                millis,
+                millis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void controlTick() {
+        if (retention.holding()) {
+            gateway.directory().replace(retention.entries(now()), now());
+        }
+        control.tick();
+    }
+
+    private void report() {
+        PeerReport report = gateway.report(now());
+        control.requested(report.keys());
+        peerSocket.send(report, peers);
+    }
+
+    private void peerReported(PeerReport report) {
+        control.requested(report.keys());
+        requests.run(gateway.reported(report, now()));
+    }
+
+    /** Keeps the gateway's knowledge up with the store. */
+    private final class MirrorListener implements StoreMirror.Listener {
+
+        @Override
+        public void changed(Map<String, StoredItem> items) {
+            Map<TargetId, TargetEntry> targets = new HashMap<>();
+            Set<FailureDomain> drained = new HashSet<>();
+            for (StoredItem item : items.values()) {
+                if (!item.key().startsWith(FleetRecords.PREFIX)) {
+                    decoded(item).ifPresent(found -> take(found, targets, drained));
+                }
+            }
+            retention.present(targets, now());
+            gateway.directory().replace(retention.entries(now()), now());
+            gateway.directory().drain(drained);
+            control.records(items);
+        }
+
+        private Optional<StoreRecord> decoded(StoredItem item) {
+            return decoder.decode(item.key(), item.value())
+                    .peekLeft(error -> {
+                        if (unreadable.add(item.key() + "@" + item.revision())) {
+                            LOG.warn(
+                                    "event=record_unreadable key={} revision={} error={}",
+                                    item.key(),
+                                    item.revision(),
+                                    error);
+                        }
+                    })
+                    .toJavaOptional();
+        }
+
+        private void take(StoreRecord found, Map<TargetId, TargetEntry> targets, Set<FailureDomain> drained) {
+            switch (found) {
+                case StoreRecord.Desired desired -> desired(desired.state());
+                case StoreRecord.Target target -> targets.put(target.entry().id(), target.entry());
+                case StoreRecord.Drain drain -> drained.add(drain.domain());
+            }
+        }
+
+        private void desired(DesiredState state) {
+            if (gateway.desired().map(DesiredState::version).orElse(-1L) < state.version()) {
+                LOG.info("event=desired_state version={}", state.version());
+                gateway.desiredState(state);
+                control.desired(state);
+            }
+        }
+
+        @Override
+        public void confirmed(long at) {
+            gateway.storeConfirmed(at);
+        }
+
+        @Override
+        public void reachable(boolean answers) {
+            retention.storeReachable(answers, now());
+        }
+    }
+
+    /** Passes on what the control loop learns. */
+    private final class ControlObserver implements ControlLoop.Observer {
+
+        @Override
+        public void table(ServiceName service, ShardTable table) {
+            LOG.info(
+                    "event=table service={} assignments={} lastFence={}",
+                    service,
+                    table.assignments().size(),
+                    table.lastFence());
+            requests.run(gateway.shardTable(service, table, now()));
+        }
+
+        @Override
+        public void hosts(Map<HostId, FleetMember> members) {
+            gateway.hosts(members.keySet());
+            peers = members.values().stream()
+                    .filter(member -> !member.host().equals(options.self().host()))
+                    .map(member -> SocketAddresses.parse(member.peerAddress()))
+                    .toList();
+        }
+    }
+
+    /** Stops the process without cutting a request, and returns when that is done or the time for it is up. */
+    public void stop() {
+        loop.execute(this::beginStop);
+        try {
+            if (!ended.await(options.stopMillis(), TimeUnit.MILLISECONDS)) {
+                LOG.warn("event=stop_incomplete open={}", requests.open());
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void beginStop() {
+        LOG.info("event=stopping open={}", requests.open());
+        stopping = true;
+        control.stop();
+        callers.drain();
+        long begun = now();
+        every(TICK_MILLIS, () -> continueStop(begun));
+    }
+
+    private void continueStop(long begun) {
+        if (now() - begun < LISTEN_WHILE_STOPPING_MILLIS) {
+            return;
+        }
+        callers.closeUnused();
+        if (requests.open() == 0 && callers.connections() == 0) {
+            callers.stopListening();
+            ended.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -0,0 +1,235 @@
+package org.dragonflymux.gateway;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import com.google.common.primitives.Ints;
+import com.google.common.primitives.Longs;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflymux.core.gateway.ArrivedRequest;
+import org.dragonflymux.core.gateway.AttemptResult;
+import org.dragonflymux.core.gateway.Gateway;
+import org.dragonflymux.core.gateway.GatewayEffect;
+import org.dragonflymux.core.gateway.RefusalReason;
+import org.dragonflymux.gateway.caller.CallerHandler;
+import org.dragonflymux.gateway.caller.CallerReply;
+import org.dragonflymux.gateway.http.Call;
+import org.dragonflymux.gateway.http.CallFailure;
+import org.dragonflymux.gateway.http.CallListener;
+import org.dragonflymux.gateway.http.ConnectionPool;
+import org.dragonflymux.gateway.target.TargetMessages;
+
+/** Carries requests between callers, the gateway's decisions and targets. */
+final class RequestPath implements CallerHandler {
+
+    private static final Logger LOG = LogManager.getLogger(RequestPath.class);
+    private static final double MAX_IDLE_SHARE = 0.9;
+    private static final double MAX_IDLE_SHARE_ONCE_ONLY = 0.4;
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private final Gateway gateway;
+    private final ConnectionPool pool;
+    private final TargetMessages messages;
+    private final WireNames names;
+    private final LongSupplier clock;
+    private final Map<Long, Waiting> waiting = new HashMap<>();
+    private final Map<Long, Call> calls = new HashMap<>();
+    private long lastExchange;
+    private FullHttpResponse presentAnswer;
+
+    private record Waiting(FullHttpRequest request, CallerReply reply, String requestId, long since) {}
+
+    RequestPath(Gateway gateway, ConnectionPool pool, WireNames names, LongSupplier clock) {
+        this.gateway = gateway;
+        this.pool = pool;
+        this.messages = TargetMessages.with(names);
+        this.names = names;
+        this.clock = clock;
+    }
+
+    @Override
+    public void requested(FullHttpRequest request, CallerReply reply) {
+        long exchange = ++lastExchange;
+        long now = clock.getAsLong();
+        String id = request.headers().get(names.requestId(), "");
+        waiting.put(exchange, new Waiting(request, reply, id, now));
+        reply.whenGone(() -> {
+            waiting.remove(exchange);
+            run(gateway.abandoned(exchange, clock.getAsLong()));
+        });
+        run(gateway.arrived(arrived(exchange, id, request), now));
+    }
+
+    private ArrivedRequest arrived(long exchange, String id, FullHttpRequest request) {
+        String host = request.headers().get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
+        int port = host.indexOf(':');
+        String uri = request.uri();
+        int query = uri.indexOf('?');
+        Long wait = Longs.tryParse(request.headers().get(names.waitMillis(), ""));
+        Integer key = Ints.tryParse(request.headers().get(names.shardKey(), ""));
+        return new ArrivedRequest(
+                exchange,
+                id,
+                port < 0 ? host : host.substring(0, port),
+                query < 0 ? uri : uri.substring(0, query),
+                Optional.ofNullable(request.headers().get(names.credential())),
+                key == null ? OptionalInt.empty() : OptionalInt.of(key),
+                wait == null ? OptionalLong.empty() : OptionalLong.of(wait),
+                fingerprint(request));
+    }
+
+    private long fingerprint(FullHttpRequest request) {
+        Hasher hasher = Hashing.murmur3_128().newHasher();
+        hasher.putString(request.method().name(), StandardCharsets.UTF_8);
+        hasher.putString(request.uri(), StandardCharsets.UTF_8);
+        hasher.putString(request.headers().get(names.credential(), ""), StandardCharsets.UTF_8);
+        hasher.putBytes(ByteBufUtil.getBytes(request.content()));
+        return hasher.hash().asLong();
+    }
+
+    /** Carries out what the gateway wants. */
+    void run(List<GatewayEffect> effects) {
+        for (GatewayEffect effect : effects) {
+            switch (effect) {
+                case GatewayEffect.Send send -> send(send);
+                case GatewayEffect.Cancel cancel -> {
+                    Call call = calls.remove(cancel.attempt());
+                    if (call != null) {
+                        call.cancel();
+                    }
+                }
+                case GatewayEffect.Deliver deliver -> deliver(deliver);
+                case GatewayEffect.Refuse refuse -> refuse(refuse);
+            }
+        }
+    }
+
+    private void send(GatewayEffect.Send send) {
+        Waiting exchange = waiting.get(send.exchange());
+        FullHttpRequest request = messages.request(exchange.request(), send);
+        double idleShare = send.repeatable() ? MAX_IDLE_SHARE : MAX_IDLE_SHARE_ONCE_ONLY;
+        Call call = pool.call(peer(send), request, 0, idleShare, new CallListener() {
+            @Override
+            public void answered(FullHttpResponse answer) {
+                calls.remove(send.attempt());
+                attemptAnswered(send, exchange, answer);
+            }
+
+            @Override
+            public void failed(CallFailure failure) {
+                calls.remove(send.attempt());
+                attemptFailed(send, exchange, failure);
+            }
+        });
+        calls.put(send.attempt(), call);
+    }
+
+    private static ConnectionPool.Peer peer(GatewayEffect.Send send) {
+        return new ConnectionPool.Peer(
+                send.target().id() + "/" + send.target().incarnation(),
+                SocketAddresses.parse(send.target().address()));
+    }
+
+    private void attemptAnswered(GatewayEffect.Send send, Waiting exchange, FullHttpResponse answer) {
+        long now = clock.getAsLong();
+        messages.load(answer).ifPresent(load -> gateway.loadReported(send.target().id(), load, now));
+        AttemptResult result = messages.read(answer, exchange.requestId());
+        if (!(result instanceof AttemptResult.Answered(AttemptResult.Grade grade))
+                || grade != AttemptResult.Grade.SUCCESS) {
+            LOG.info(
+                    "event=attempt_ended id={} target={} result={} status={} millis={}",
+                    exchange.requestId(),
+                    send.target().id(),
+                    result,
+                    answer.status().code(),
+                    now - exchange.since());
+        }
+        presentAnswer = answer;
+        run(gateway.ended(send.attempt(), result, now));
+        presentAnswer = null;
+    }
+
+    private void attemptFailed(GatewayEffect.Send send, Waiting exchange, CallFailure failure) {
+        long now = clock.getAsLong();
+        LOG.info(
+                "event=attempt_failed id={} target={} failure={} millis={}",
+                exchange.requestId(),
+                send.target().id(),
+                failure,
+                now - exchange.since());
+        AttemptResult result =
+                switch (failure) {
+                    case NOT_SENT -> new AttemptResult.NotSent();
+                    case BROKEN, TIMED_OUT -> new AttemptResult.Lost(false);
+                    case MALFORMED -> new AttemptResult.Lost(true);
+                };
+        run(gateway.ended(send.attempt(), result, now));
+    }
+
+    private void deliver(GatewayEffect.Deliver deliver) {
+        Waiting exchange = waiting.remove(deliver.exchange());
+        if (exchange != null) {
+            exchange.reply().answer(messages.answer(presentAnswer));
+        }
+    }
+
+    private void refuse(GatewayEffect.Refuse refuse) {
+        Waiting exchange = waiting.remove(refuse.exchange());
+        if (exchange == null) {
+            return;
+        }
+        LOG.info(
+                "event=request_refused id={} reason={} retryAfterMillis={} millis={}",
+                exchange.requestId(),
+                refuse.reason(),
+                refuse.retryAfterMillis(),
+                clock.getAsLong() - exchange.since());
+        FullHttpResponse answer = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, status(refuse.reason().outcome()), Unpooled.EMPTY_BUFFER);
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        if (!exchange.requestId().isEmpty()) {
+            answer.headers().set(names.requestId(), exchange.requestId());
+        }
+        if (refuse.retryAfterMillis() > 0) {
+            answer.headers()
+                    .set(
+                            HttpHeaderNames.RETRY_AFTER,
+                            String.format(Locale.ROOT, "%.3f", refuse.retryAfterMillis() / MILLIS_PER_SECOND));
+        }
+        exchange.reply().answer(answer);
+    }
+
+    private static HttpResponseStatus status(RefusalReason.Outcome outcome) {
+        return switch (outcome) {
+            case NOT_RUN -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+            case RATE_LIMITED -> HttpResponseStatus.TOO_MANY_REQUESTS;
+            case MALFORMED -> HttpResponseStatus.BAD_REQUEST;
+            case UNAUTHENTICATED -> HttpResponseStatus.UNAUTHORIZED;
+            case NOT_FOUND -> HttpResponseStatus.NOT_FOUND;
+            case TIMED_OUT -> HttpResponseStatus.GATEWAY_TIMEOUT;
+            case UNKNOWN -> HttpResponseStatus.BAD_GATEWAY;
+        };
+    }
+
+    /** Returns how many callers wait for an answer. */
+    int open() {
+        return waiting.size();
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/CallListener.java
@@ -0,0 +1,17 @@
+package org.dragonflymux.gateway.http;
+
+import io.netty.handler.codec.http.FullHttpResponse;
+
+/** Who made a call. Exactly one of the methods is called, once, unless the call is cancelled. */
+public interface CallListener {
+
+    /**
+     * Takes the whole answer. The listener doesn't own the buffer after the method returns.
+     *
+     * @param answer the answer
+     */
+    void answered(FullHttpResponse answer);
+
+    /** Takes in that there is no answer. */
+    void failed(CallFailure failure);
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
@@ -0,0 +1,68 @@
+package org.dragonflymux.gateway.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflymux.core.gateway.PeerReport;
+
+/** Sends a host's reports to the others and takes theirs. */
+public final class PeerSocket {
+
+    private static final Logger LOG = LogManager.getLogger(PeerSocket.class);
+    private static final int MAX_DATAGRAM_BYTES = 60_000;
+
+    private final Channel channel;
+
+    private PeerSocket(Channel channel) {
+        this.channel = channel;
+    }
+
+    /** Opens the socket. */
+    public static PeerSocket open(EventLoop loop, InetSocketAddress address, Consumer<PeerReport> receiver) {
+        Channel channel = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .option(
+                        io.netty.channel.ChannelOption.RCVBUF_ALLOCATOR,
+                        new io.netty.channel.FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+                        ReportCodec.decode(ByteBufUtil.getBytes(packet.content())).ifPresent(receiver);
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                        LOG.debug("event=peer_socket_error cause=\"{}\"", cause.getMessage());
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+        return new PeerSocket(channel);
+    }
+
+    /** Sends a report to all given hosts. */
+    public void send(PeerReport report, Collection<InetSocketAddress> hosts) {
+        byte[] bytes = ReportCodec.encode(report);
+        if (bytes.length > MAX_DATAGRAM_BYTES) {
+            LOG.warn("event=peer_report_too_large bytes={}", bytes.length);
+            return;
+        }
+        for (InetSocketAddress host : hosts) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), host));
+        }
+        channel.flush();
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/target/package-info.java
@@ -0,0 +1,2 @@
+/** Requests to targets and what their answers mean. */
+package org.dragonflymux.gateway.target;
