--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/EntryRetention.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/EntryRetention.java
@@ -17,7 +17,6 @@
 
     private final Map<TargetId, TargetEntry> retained = new HashMap<>();
     private Map<TargetId, TargetEntry> present = Map.of();
-    private boolean reachable = true;
     private long returnedAt = Long.MIN_VALUE / 2;
 
     private EntryRetention() {}
@@ -27,12 +26,9 @@
         return new EntryRetention();
     }
 
-    /** Takes in whether the store answers. */
-    public void storeReachable(boolean answers, long now) {
-        if (answers && !reachable) {
-            returnedAt = now;
-        }
-        reachable = answers;
+    /** Takes in that the store came back at the given time after an outage. */
+    public void storeReturned(long at) {
+        returnedAt = Math.max(returnedAt, at);
     }
 
     /** Takes in the entries that lie in the store. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetQuota.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetQuota.java
@@ -14,11 +14,24 @@
 
     private static final double MILLIS_PER_SECOND = 1000;
     private static final double DEBT_SECONDS = 1;
+    /** Which share of the burst is there at once; the rest flows in during a window. */
+    private static final double READY_BURST = 0.5;
+
+    private final long windowMillis;
 
     private final Map<CustomerName, Bucket> buckets = new HashMap<>();
     private final Map<CustomerName, Long> admitted = new HashMap<>();
     private final Map<HostId, PeerUse> peers = new HashMap<>();
 
+    /**
+     * Returns the buckets of a host that has admitted nothing.
+     *
+     * @param windowMillis in any window of this length a customer may have its rate and its burst
+     */
+    FleetQuota(long windowMillis) {
+        this.windowMillis = windowMillis;
+    }
+
     private static final class Bucket {
         private double tokens;
         private long filledAt;
@@ -39,7 +52,7 @@
         }
         Bucket bucket = filled(customer, hosts, now);
         if (bucket.tokens < 1) {
-            return Math.max(1, (long) Math.ceil((1 - bucket.tokens) / customer.ratePerSecond() * MILLIS_PER_SECOND));
+            return Math.max(1, (long) Math.ceil((1 - bucket.tokens) / perMilli(customer)));
         }
         bucket.tokens--;
         admitted.merge(customer.name(), 1L, Long::sum);
@@ -63,17 +76,21 @@
         Bucket bucket = buckets.get(customer.name());
         if (bucket == null) {
             bucket = new Bucket();
-            bucket.tokens = customer.burst() / Math.max(1, hosts);
+            bucket.tokens = customer.burst() * READY_BURST / Math.max(1, hosts);
             bucket.filledAt = now;
             buckets.put(customer.name(), bucket);
         }
-        double flow = (now - bucket.filledAt) * customer.ratePerSecond() / MILLIS_PER_SECOND;
-        bucket.tokens = Math.min(Math.max(customer.burst(), 1), bucket.tokens + flow);
+        double flow = (now - bucket.filledAt) * perMilli(customer);
+        bucket.tokens = Math.min(Math.max(customer.burst() * READY_BURST, 1), bucket.tokens + flow);
         bucket.tokens = Math.max(-DEBT_SECONDS * customer.ratePerSecond(), bucket.tokens);
         bucket.filledAt = now;
         return bucket;
     }
 
+    private double perMilli(CustomerSpec customer) {
+        return customer.ratePerSecond() / MILLIS_PER_SECOND + customer.burst() * (1 - READY_BURST) / windowMillis;
+    }
+
     /** Takes in what another host has admitted. */
     void peerAdmitted(HostId peer, long incarnation, Map<CustomerName, Long> counts, long now) {
         PeerUse use = peers.computeIfAbsent(peer, _ -> new PeerUse());
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -43,7 +43,7 @@
     private final GatewaySettings settings;
     private final RandomGenerator random;
     private final TargetDirectory directory = TargetDirectory.empty();
-    private final FleetQuota quota = new FleetQuota();
+    private final FleetQuota quota;
     private final FleetView fleet;
     private final ColdPacer pacer;
     private final TargetChoice choice;
@@ -64,6 +64,7 @@
     private Gateway(GatewaySettings settings, RandomGenerator random) {
         this.settings = settings;
         this.random = random;
+        this.quota = new FleetQuota(settings.quotaWindowMillis());
         this.fleet = new FleetView(settings.host(), directory, quota);
         this.pacer = ColdPacer.of(fleet::hosts);
         this.choice = TargetChoice.of(directory, pacer, settings.domain(), random);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipDuty.java
@@ -131,6 +131,10 @@
         return lease;
     }
 
+    public Optional<FleetMember> grantor() {
+        return grantor;
+    }
+
     public long grantorRevision() {
         return grantorRevision;
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantDuty.java
@@ -382,7 +382,7 @@
                     owner.fence(),
                     Optional.of(new Move(planned.to(), incarnationOf(planned.to()), fence))));
         }
-        return after;
+        return ShardPlanner.join(after, targets.size());
     }
 
     private long incarnationOf(TargetId id) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -14,12 +14,14 @@
  */
 public final class ShardPlanner {
 
-    private static final int MAX_BALANCING_MOVES = 6;
+    private static final int MAX_BALANCING_MOVES = 4;
     private static final int MAX_MOVES_AT_ONCE = 64;
-    private static final double CROWDED = 0.55;
-    private static final double IMBALANCE = 1.3;
-    private static final double MIN_GAIN = 0.12;
-    private static final int PIECES_WITHOUT_LOAD = 4;
+    private static final double CROWDED = 0.6;
+    private static final double IMBALANCE = 1.5;
+    private static final double MIN_GAIN = 0.2;
+    private static final int MAX_JOINS = 16;
+    /** More assignments than this for each target are joined where neighbours have the same owner. */
+    private static final int ASSIGNMENTS_PER_TARGET = 3;
     private static final double PIECES_PER_TARGET = 3;
 
     private ShardPlanner() {}
@@ -62,6 +64,41 @@
         return new Planning(table, targets, load).plan();
     }
 
+    /**
+     * Returns the table with neighbouring ranges of the same owner joined under one new fencing token, if there are many
+     * assignments: each of them has to be renewed by a call of its own.
+     */
+    public static ShardTable join(ShardTable table, int targets) {
+        ShardTable joined = table;
+        for (int i = 0; i < MAX_JOINS && joined.assignments().size() > targets * ASSIGNMENTS_PER_TARGET; i++) {
+            Optional<ShardTable> next = joinOnce(joined);
+            if (next.isEmpty()) {
+                return joined;
+            }
+            joined = next.get();
+        }
+        return joined;
+    }
+
+    private static Optional<ShardTable> joinOnce(ShardTable table) {
+        List<Assignment> rows = table.assignments();
+        for (int i = 0; i + 1 < rows.size(); i++) {
+            Assignment left = rows.get(i);
+            Assignment right = rows.get(i + 1);
+            boolean joinable = left.owner().equals(right.owner())
+                    && left.incarnation() == right.incarnation()
+                    && left.move().isEmpty()
+                    && right.move().isEmpty()
+                    && left.range().last() + 1 == right.range().first();
+            if (joinable) {
+                KeyRange range = new KeyRange(left.range().first(), right.range().last());
+                return Optional.of(table.with(new Assignment(
+                        range, left.owner(), left.incarnation(), table.lastFence() + 1, Optional.empty())));
+            }
+        }
+        return Optional.empty();
+    }
+
     /** One run of the planner. */
     private static final class Planning {
 
@@ -134,10 +171,10 @@
 
         private List<KeyRange> pieces(KeyRange range, double quantum) {
             double inRange = load.perSecond(range);
-            int count = inRange <= 0 || quantum <= 0
-                    ? PIECES_WITHOUT_LOAD
-                    : Math.clamp((long) Math.ceil(inRange / quantum), 1, targets.size());
-            count = Math.min(count, range.size());
+            int fairSize = KeyRange.ALL.size() / targets.size() + 1;
+            int bySize = (range.size() + fairSize - 1) / fairSize;
+            int byLoad = quantum <= 0 ? 1 : (int) Math.ceil(inRange / quantum);
+            int count = Math.clamp(Math.max(bySize, byLoad), 1, Math.min(targets.size(), range.size()));
             List<KeyRange> result = new ArrayList<>();
             int first = range.first();
             int begin = load.indexOf(range.first());
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -23,6 +23,7 @@
 import org.dragonflymux.core.desired.RequestLimits;
 import org.dragonflymux.core.gateway.Gateway;
 import org.dragonflymux.core.gateway.PeerReport;
+import org.dragonflymux.core.membership.FeedChoice;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.membership.MembershipDuty;
 import org.dragonflymux.core.name.FailureDomain;
@@ -50,7 +51,9 @@
     private static final long TICK_MILLIS = 20;
     private static final long CONTROL_TICK_MILLIS = 50;
     private static final long REPORT_MILLIS = 125;
-    private static final long WATCH_MILLIS = 2_000;
+    private static final long FEED_TICK_MILLIS = 100;
+    private static final long HEARTBEAT_MILLIS = 300;
+    private static final long WATCH_MILLIS = 1_000;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
     private static final RequestLimits FIRST_LIMITS = new RequestLimits(16_384, 1 << 20, 5_000, 15_000);
 
@@ -64,10 +67,12 @@
     private final ControlLoop control;
     private final ConnectionPool pool;
     private final EntryRetention retention = EntryRetention.empty();
+    private final FeedChoice feed;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Set<String> unreadable = new HashSet<>();
     private Collection<InetSocketAddress> peers = List.of();
     private PeerSocket peerSocket;
+    private StoreMirror mirror;
     private boolean stopping;
 
     private GatewayProcess(
@@ -83,6 +88,7 @@
         this.store = stores.apply(loop);
         var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         this.gateway = Gateway.of(options.gateway(), random::nextLong);
+        this.feed = FeedChoice.of(options.self());
         this.pool = ConnectionPool.on(loop, MAX_ANSWER_BYTES);
         this.requests = new RequestPath(gateway, pool, names, GatewayProcess::now);
         this.callers = CallerServer.on(loop, requests, this::limits);
@@ -128,12 +134,19 @@
         peerSocket = PeerSocket.open(loop, options.peers(), this::peerReported);
         ReadinessServer.listen(loop, options.readiness(), () -> !stopping && gateway.ready(now()));
         callers.listen(options.callers());
-        for (String prefix : decoder.prefixes()) {
-            StoreMirror.start(loop, store, prefix, WATCH_MILLIS, GatewayProcess::now, new MirrorListener());
-        }
+        mirror = StoreMirror.start(
+                loop,
+                store,
+                decoder.prefix(),
+                WATCH_MILLIS,
+                GatewayProcess::now,
+                relayAddress(options.peers()),
+                new MirrorListener());
         every(TICK_MILLIS, () -> requests.run(gateway.tick(now())));
         every(CONTROL_TICK_MILLIS, this::controlTick);
         every(REPORT_MILLIS, this::report);
+        every(FEED_TICK_MILLIS, this::followFeed);
+        every(HEARTBEAT_MILLIS, this::heartbeat);
         every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
         LOG.info(
                 "event=started host={} incarnation={}",
@@ -162,6 +175,24 @@
         control.tick();
     }
 
+    /** Returns where a host passes on news of the store: the port above the one for reports. */
+    private static InetSocketAddress relayAddress(InetSocketAddress reports) {
+        return new InetSocketAddress(reports.getAddress(), reports.getPort() + 1);
+    }
+
+    private void followFeed() {
+        boolean direct = feed.direct(now());
+        mirror.follow(
+                direct,
+                feed.source(now()).map(source -> relayAddress(SocketAddresses.parse(source.peerAddress()))));
+    }
+
+    private void heartbeat() {
+        if (control.leading()) {
+            mirror.heartbeat();
+        }
+    }
+
     private void report() {
         PeerReport report = gateway.report(now());
         control.requested(report.keys());
@@ -189,6 +220,7 @@
             gateway.directory().replace(retention.entries(now()), now());
             gateway.directory().drain(drained);
             control.records(items);
+            feed.grantor(control.grantor(), now());
         }
 
         private Optional<StoreRecord> decoded(StoredItem item) {
@@ -227,8 +259,13 @@
         }
 
         @Override
-        public void reachable(boolean answers) {
-            retention.storeReachable(answers, now());
+        public void relayed(long completeAt) {
+            feed.heard(completeAt, now());
+        }
+
+        @Override
+        public void returned(long at) {
+            retention.storeReturned(at);
         }
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -11,7 +11,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.balance.TargetDirectory;
-import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.desired.DesiredState;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.membership.FleetMember;
@@ -258,7 +257,10 @@
                                             target.entry(),
                                             grant,
                                             settings.callTimeout(),
-                                            result -> ended(duty, grant.call(), result)),
+                                            result -> {
+                                                logUnlessDone(grant, result);
+                                                ended(duty, grant.call(), result);
+                                            }),
                                     () -> ended(duty, grant.call(), new GrantResult.NotSent()));
                 case GrantEffect.Release release ->
                     directory
@@ -268,17 +270,29 @@
                                             target.entry(),
                                             release,
                                             RELEASE_TIMEOUT_MILLIS,
-                                            result -> ended(duty, release.call(), result)),
+                                            result -> {
+                                                LOG.info("event=keys_released release={} result={}", release, result);
+                                                ended(duty, release.call(), result);
+                                            }),
                                     () -> ended(duty, release.call(), new GrantResult.NotSent()));
             }
         }
     }
 
+    private static void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
+        if (!(result instanceof GrantResult.Done)) {
+            LOG.info("event=grant_failed grant={} result={}", grant, result);
+        }
+    }
+
     private void ended(GrantDuty duty, long call, GrantResult result) {
         run(duty, duty.ended(call, result, clock.getAsLong()));
     }
 
     private void persist(GrantDuty duty, GrantEffect.Persist persist) {
+        persist.table().assignments().stream()
+                .filter(assignment -> assignment.move().isPresent())
+                .forEach(assignment -> LOG.info("event=move_planned assignment={}", assignment));
         String key = FleetRecords.tableKey(persist.service());
         List<StoreClient.Expected> expected = new ArrayList<>();
         expected.add(new StoreClient.Expected(FleetRecords.GRANTOR, membership.grantorRevision()));
@@ -304,12 +318,12 @@
         }
     }
 
-    public boolean leading() {
-        return leading;
+    /** Returns the host that grants keys. */
+    public Optional<FleetMember> grantor() {
+        return membership.grantor();
     }
 
-    /** Returns the entries of targets by their names. */
-    public Optional<TargetEntry> entry(org.dragonflymux.core.name.TargetId id) {
-        return directory.target(id).map(state -> state.entry());
+    public boolean leading() {
+        return leading;
     }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Call.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Call.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.gateway.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
 
@@ -64,7 +65,17 @@
 
     /** Gives the call up: its connection is closed, and the listener hears nothing more. */
     public void cancel() {
-        if (end() && channel != null) {
+        if (end()) {
+            abort();
+        }
+    }
+
+    /** Resets the connection, so that bytes that are still on their way are dropped. */
+    private void abort() {
+        if (channel != null) {
+            if (channel.isActive()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             channel.close();
         }
     }
@@ -72,9 +83,7 @@
     void fail(CallFailure failure) {
         boolean wasSent = sent;
         if (end()) {
-            if (channel != null) {
-                channel.close();
-            }
+            abort();
             listener.failed(wasSent ? failure : CallFailure.NOT_SENT);
         }
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/RecordDecoder.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/RecordDecoder.java
@@ -1,7 +1,6 @@
 package org.dragonflymux.gateway.store;
 
 import io.vavr.control.Either;
-import java.util.List;
 
 /** Reads what others keep in the store. */
 public interface RecordDecoder {
@@ -14,8 +13,8 @@
         UNKNOWN_KEY
     }
 
-    /** Returns the prefixes below which others keep values. */
-    List<String> prefixes();
+    /** Returns the prefix of all keys that matter, the system's own ones included. */
+    String prefix();
 
     /** Returns what a value means. */
     Either<DecodeError, StoreRecord> decode(String key, byte[] value);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -2,18 +2,27 @@
 
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-/** A host's copy of all values below a prefix, kept up by waiting for changes. */
+/**
+ * A host's copy of all values in the store. It is kept up by waiting for changes at the store, or by another host that
+ * does so and passes them on; whatever this host learns it passes on to those that ask it.
+ */
 public final class StoreMirror {
 
     private static final Logger LOG = LogManager.getLogger(StoreMirror.class);
     private static final long RETRY_MILLIS = 250;
+    private static final long FIRST_WAIT_MILLIS = 20;
+    private static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
 
     private final EventLoop loop;
     private final StoreClient store;
@@ -21,10 +30,14 @@
     private final long waitMillis;
     private final LongSupplier clock;
     private final Listener listener;
+    private final Relay relay;
     private final Map<String, StoredItem> items = new TreeMap<>();
     private long revision = -1;
-    private boolean reachable;
-    private boolean stopped;
+    private long completeAt = Long.MIN_VALUE / 2;
+    private long returnedAt = -NEVER_MILLIS;
+    private boolean reachable = true;
+    private boolean direct = true;
+    private boolean calling;
 
     /** Who wants to know of changes. */
     public interface Listener {
@@ -35,8 +48,11 @@
         /** Takes in that the copy was complete at the given time. */
         void confirmed(long at);
 
-        /** Takes in whether the store answers. */
-        void reachable(boolean answers);
+        /** Takes in that another host's news were complete at the given time. */
+        void relayed(long completeAt);
+
+        /** Takes in that the store came back at the given time after an outage. */
+        void returned(long at);
     }
 
     private StoreMirror(
@@ -52,13 +68,16 @@
         this.waitMillis = waitMillis;
         this.clock = clock;
         this.listener = listener;
+        this.relay = new Relay(loop);
     }
 
     /**
      * Returns a copy that is kept up from now on.
      *
+     * @param prefix the prefix of the keys that are copied
      * @param waitMillis for how long one call waits for changes
      * @param clock tells the time, in milliseconds
+     * @param relayAddress where other hosts may ask for news
      */
     public static StoreMirror start(
             EventLoop loop,
@@ -66,90 +85,204 @@
             String prefix,
             long waitMillis,
             LongSupplier clock,
+            InetSocketAddress relayAddress,
             Listener listener) {
         StoreMirror mirror = new StoreMirror(loop, store, prefix, waitMillis, clock, listener);
+        mirror.relay.listen(relayAddress, mirror::whole);
         mirror.read();
         return mirror;
     }
 
-    /** Stops keeping the copy up. */
-    public void stop() {
-        stopped = true;
+    /**
+     * Sets where news comes from.
+     *
+     * @param asksStore whether this host asks the store itself
+     * @param source another host that is asked, besides or instead
+     */
+    public void follow(boolean asksStore, Optional<InetSocketAddress> source) {
+        relay.follow(source, this::relayed);
+        boolean resumes = asksStore && !direct;
+        direct = asksStore;
+        if (resumes && !calling) {
+            // The first wait is short, to learn at once how things stand.
+            next(FIRST_WAIT_MILLIS);
+        }
+    }
+
+    /** Tells those that ask this host that there is nothing newer. */
+    public void heartbeat() {
+        publish(List.of());
+    }
+
+    private void next(long firstWait) {
+        if (!direct || calling) {
+            return;
+        }
+        if (revision < 0) {
+            read();
+        } else {
+            watch(firstWait);
+        }
+    }
+
+    private void retryLater() {
+        loop.schedule(() -> next(waitMillis), RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void read() {
+        calling = true;
         long sentAt = clock.getAsLong();
         store.range(prefix, result -> readEnded(result, sentAt));
     }
 
     private void readEnded(Either<StoreError, StoreClient.Range> result, long sentAt) {
-        if (stopped) {
-            return;
-        }
+        calling = false;
         if (result.isLeft()) {
             failed(result.getLeft());
-            loop.schedule(this::read, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            retryLater();
             return;
         }
         answered();
+        if (result.get().revision() >= revision) {
+            replace(result.get().items(), result.get().revision());
+            relay.publish(whole());
+        }
+        confirm(sentAt);
+        next(waitMillis);
+    }
+
+    private void replace(List<StoredItem> all, long newRevision) {
         items.clear();
-        result.get().items().forEach(item -> items.put(item.key(), item));
-        revision = result.get().revision();
+        all.forEach(item -> items.put(item.key(), item));
+        revision = newRevision;
         listener.changed(items);
-        listener.confirmed(sentAt);
-        watch();
     }
 
-    private void watch() {
+    private void confirm(long at) {
+        completeAt = Math.max(completeAt, at);
+        listener.confirmed(at);
+    }
+
+    private void watch(long wait) {
+        calling = true;
         long sentAt = clock.getAsLong();
-        store.watch(prefix, revision, waitMillis, result -> watchEnded(result, sentAt));
+        store.watch(prefix, revision, wait, result -> watchEnded(result, sentAt, wait));
     }
 
-    private void watchEnded(Either<StoreError, StoreClient.Changes> result, long sentAt) {
-        if (stopped) {
-            return;
-        }
+    private void watchEnded(Either<StoreError, StoreClient.Changes> result, long sentAt, long wait) {
+        calling = false;
         if (result.isLeft()) {
-            boolean compacted = result.getLeft() == StoreError.COMPACTED;
-            if (!compacted) {
+            if (result.getLeft() == StoreError.COMPACTED) {
+                read();
+            } else {
                 failed(result.getLeft());
+                retryLater();
             }
-            Runnable next = compacted ? this::read : this::watch;
-            loop.schedule(next, compacted ? 0 : RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         answered();
         StoreClient.Changes changes = result.get();
-        changes.changes().forEach(this::apply);
+        // A wait that ended without changes shows that there were none until it ended.
+        boolean quiet = changes.changes().isEmpty();
+        completeAt = Math.max(completeAt, quiet ? Math.min(sentAt + wait, clock.getAsLong()) : sentAt);
+        apply(changes);
+        confirm(completeAt);
+        next(waitMillis);
+    }
+
+    private void apply(StoreClient.Changes changes) {
+        List<StoreChange> fresh = new ArrayList<>();
+        for (StoreChange change : changes.changes()) {
+            if (apply(change)) {
+                fresh.add(change);
+            }
+        }
         revision = Math.max(revision, changes.revision());
-        if (!changes.changes().isEmpty()) {
+        if (!fresh.isEmpty()) {
             listener.changed(items);
+            publish(fresh);
         }
-        // A wait that ended without changes shows that there were none until it ended.
-        listener.confirmed(changes.changes().isEmpty() ? Math.min(sentAt + waitMillis, clock.getAsLong()) : sentAt);
-        watch();
     }
 
-    private void apply(StoreChange change) {
+    private boolean apply(StoreChange change) {
         switch (change) {
-            case StoreChange.Written written -> items.put(written.item().key(), written.item());
-            case StoreChange.Removed removed -> items.remove(removed.key());
+            case StoreChange.Written(StoredItem item) -> {
+                if (item.revision() <= revision) {
+                    return false;
+                }
+                items.put(item.key(), item);
+            }
+            case StoreChange.Removed(String key, long at) -> {
+                if (at <= revision) {
+                    return false;
+                }
+                items.remove(key);
+            }
+        }
+        return true;
+    }
+
+    private void relayed(RelayFrame frame) {
+        long now = clock.getAsLong();
+        long at = now - frame.ageMillis();
+        if (frame.returnedMillis() < NEVER_MILLIS) {
+            returnedAt = Math.max(returnedAt, now - frame.returnedMillis());
+            listener.returned(returnedAt);
         }
+        if (frame.whole()) {
+            if (frame.changes().revision() < revision) {
+                return;
+            }
+            List<StoredItem> all = new ArrayList<>();
+            for (StoreChange change : frame.changes().changes()) {
+                if (change instanceof StoreChange.Written(StoredItem item)) {
+                    all.add(item);
+                }
+            }
+            replace(all, frame.changes().revision());
+        } else {
+            apply(frame.changes());
+        }
+        if (frame.changes().revision() >= revision) {
+            confirm(at);
+        }
+        listener.relayed(at);
+    }
+
+    private RelayFrame whole() {
+        List<StoreChange> all = new ArrayList<>();
+        items.values().forEach(item -> all.add(new StoreChange.Written(item)));
+        return frame(true, all);
+    }
+
+    private void publish(List<StoreChange> changes) {
+        if (revision >= 0) {
+            relay.publish(frame(false, changes));
+        }
+    }
+
+    private RelayFrame frame(boolean whole, List<StoreChange> changes) {
+        long now = clock.getAsLong();
+        return new RelayFrame(
+                whole,
+                new StoreClient.Changes(changes, revision),
+                Math.min(NEVER_MILLIS, now - completeAt),
+                Math.min(NEVER_MILLIS, now - returnedAt));
     }
 
     private void answered() {
         if (!reachable) {
             reachable = true;
-            LOG.info("event=store_reachable prefix={}", prefix);
-            listener.reachable(true);
+            returnedAt = clock.getAsLong();
+            LOG.info("event=store_reachable");
+            listener.returned(returnedAt);
         }
     }
 
     private void failed(StoreError error) {
         if (reachable) {
             reachable = false;
-            LOG.info("event=store_unreachable prefix={} error={}", prefix, error);
-            listener.reachable(false);
+            LOG.info("event=store_unreachable error={}", error);
         }
     }
 }
