--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -101,7 +101,7 @@
     /** Forgets what another host has at targets. */
     public void forgetPeer(HostId peer) {
         for (TargetState target : targets.values()) {
-            target.peerHas(peer, 0);
+            target.forgetPeer(peer);
         }
     }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -16,8 +16,8 @@
 
     private TargetEntry entry;
     private int inFlight;
-    private final Map<HostId, Integer> peersInFlight = new HashMap<>();
-    private int peersTotal;
+    private final Map<HostId, PeerUse> peers = new HashMap<>();
+    private PeerUse peersTotal = PeerUse.NONE;
     private double serviceMillis = -1;
     private double failureRatio;
     private int failuresInARow;
@@ -84,13 +84,37 @@
 
     /** Returns how many requests of all hosts are believed to be at the target. */
     public int busy() {
-        return inFlight + peersTotal;
+        return inFlight + peersTotal.inFlight;
     }
 
-    /** Takes in how many requests another host has at the target; 0 forgets that host. */
-    public void peerHas(HostId peer, int count) {
-        Integer before = count == 0 ? peersInFlight.remove(peer) : peersInFlight.put(peer, count);
-        peersTotal += count - (before == null ? 0 : before);
+    /** Returns how many requests wait at other hosts for this target alone. */
+    public int waitingAtPeers() {
+        return peersTotal.waiting;
+    }
+
+    /** Takes in how many requests another host has at the target and for it. */
+    public void peerHas(HostId peer, int count, int waitingCount) {
+        PeerUse before = peers.put(peer, new PeerUse(count, waitingCount));
+        peersTotal = peersTotal.plus(count, waitingCount).minus(before);
+    }
+
+    /** Forgets what another host has. */
+    public void forgetPeer(HostId peer) {
+        peersTotal = peersTotal.minus(peers.remove(peer));
+    }
+
+    /** What another host, or all of them, have at a target and for it. */
+    private record PeerUse(int inFlight, int waiting) {
+
+        static final PeerUse NONE = new PeerUse(0, 0);
+
+        PeerUse plus(int moreInFlight, int moreWaiting) {
+            return new PeerUse(inFlight + moreInFlight, waiting + moreWaiting);
+        }
+
+        PeerUse minus(PeerUse other) {
+            return other == null ? this : new PeerUse(inFlight - other.inFlight, waiting - other.waiting);
+        }
     }
 
     /**
@@ -165,8 +189,8 @@
 
     /** Returns good answers since the last call, and their mean time; both are then forgotten. */
     public Completions takeCompletions() {
-        Completions taken = new Completions(
-                doneSinceReport, doneSinceReport == 0 ? 0 : doneMillisSinceReport / doneSinceReport);
+        Completions taken =
+                new Completions(doneSinceReport, doneSinceReport == 0 ? 0 : doneMillisSinceReport / doneSinceReport);
         doneSinceReport = 0;
         doneMillisSinceReport = 0;
         return taken;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/desired/DesiredState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/desired/DesiredState.java
@@ -25,8 +25,9 @@
         boolean credentialsRequired,
         RequestLimits limits) {
 
-    private static final Comparator<Route> LONGEST_PREFIX_FIRST =
-            Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+    private static final Comparator<Route> LONGEST_PREFIX_FIRST = Comparator.comparingInt(
+                    (Route route) -> route.pathPrefix().length())
+            .reversed();
 
     /** Creates a state that can't be changed afterwards. */
     public DesiredState {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
@@ -58,13 +58,7 @@
 
     void reported(PeerReport report, long now) {
         Heard peer = heard.computeIfAbsent(report.from(), _ -> new Heard());
-        Map<TargetId, Integer> before = peer.report == null ? Map.of() : inFlight(peer.report);
-        Map<TargetId, Integer> after = inFlight(report);
-        for (TargetId target : before.keySet()) {
-            if (!after.containsKey(target)) {
-                directory.target(target).ifPresent(state -> state.peerHas(report.from(), 0));
-            }
-        }
+        forgetAbsent(peer.report, report);
         for (PeerReport.TargetUse use : report.targets()) {
             directory.target(use.target()).ifPresent(state -> learn(state, use, report.from(), now));
         }
@@ -75,18 +69,21 @@
         quota.peerAdmitted(report.from(), report.incarnation(), report.admitted(), now);
     }
 
-    private static Map<TargetId, Integer> inFlight(PeerReport report) {
-        Map<TargetId, Integer> result = new HashMap<>();
-        for (PeerReport.TargetUse use : report.targets()) {
-            if (use.inFlight() > 0) {
-                result.put(use.target(), use.inFlight());
+    private void forgetAbsent(PeerReport before, PeerReport after) {
+        if (before == null) {
+            return;
+        }
+        Set<TargetId> present = new HashSet<>();
+        after.targets().forEach(use -> present.add(use.target()));
+        for (PeerReport.TargetUse use : before.targets()) {
+            if (!present.contains(use.target())) {
+                directory.target(use.target()).ifPresent(state -> state.forgetPeer(after.from()));
             }
         }
-        return result;
     }
 
     private static void learn(TargetState state, PeerReport.TargetUse use, HostId from, long now) {
-        state.peerHas(from, use.inFlight());
+        state.peerHas(from, use.inFlight(), use.waiting());
         if (use.done() > 0) {
             state.learn(use.doneMillis(), use.done());
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,6 +36,8 @@
     private static final long MISDIRECTED_PAUSE_MILLIS = 60;
     private static final int QUEUED_AT_OWNER = 2;
     private static final int MAX_UNSENT = 4;
+    /** Which share of the objective a request may be expected to wait for its turn; the rest is for the work. */
+    private static final double WAIT_SHARE = 0.45;
     /** Which share of the objective a request may wait for a target that can't be reached. */
     private static final double HOPELESS_SHARE = 0.8;
 
@@ -146,13 +147,16 @@
     /** Returns what this host tells the others. */
     public PeerReport report(long now) {
         List<PeerReport.TargetUse> uses = new ArrayList<>();
+        Map<TargetId, Integer> waitingForOwner = waitingByOwner();
         for (TargetState target : directory.all()) {
             TargetState.Completions done = target.takeCompletions();
-            if (target.inFlight() > 0 || done.count() > 0) {
+            int forOwner = waitingForOwner.getOrDefault(target.entry().id(), 0);
+            if (target.inFlight() > 0 || forOwner > 0 || done.count() > 0) {
                 long age = now - target.slowdownAt();
                 uses.add(new PeerReport.TargetUse(
                         target.entry().id(),
                         target.inFlight(),
+                        forOwner,
                         done.count(),
                         (int) Math.round(done.meanMillis()),
                         target.slowdownPercent(),
@@ -176,6 +180,18 @@
                 keys);
     }
 
+    private Map<TargetId, Integer> waitingByOwner() {
+        Map<TargetId, Integer> result = new HashMap<>();
+        for (List<Exchange> list : waiting.values()) {
+            for (Exchange exchange : list) {
+                if (exchange.service.sharded()) {
+                    owner(exchange).ifPresent(assignment -> result.merge(assignment.owner(), 1, Integer::sum));
+                }
+            }
+        }
+        return result;
+    }
+
     /** Takes in a request. */
     public List<GatewayEffect> arrived(ArrivedRequest request, long now) {
         admit(request, now);
@@ -247,9 +263,8 @@
 
     private ServiceSpec chooseService(Route route) {
         DesiredState state = desired.orElseThrow();
-        double total = route.services().stream()
-                .mapToDouble(WeightedService::weight)
-                .sum();
+        double total =
+                route.services().stream().mapToDouble(WeightedService::weight).sum();
         double drawn = random.nextDouble() * total;
         for (WeightedService part : route.services()) {
             drawn -= part.weight();
@@ -266,7 +281,7 @@
         double work = directory.meanServiceMillis(exchange.service.name());
         long objective = exchange.route.objectiveMillis();
         long left = exchange.giveUpAt - now;
-        return (long) Math.max(0, Math.min(left - work, Math.max(objective - work, objective * 0.3)));
+        return (long) Math.max(0, Math.min(left - work, objective * WAIT_SHARE));
     }
 
     private long comeBackAfter(Exchange exchange, double wait) {
@@ -307,7 +322,11 @@
                         .filter(a -> a.owner().equals(target.entry().id()))
                         .isPresent())
                 .count();
-        double full = ahead * Math.max(1.0, fleet.hosts() / 2.0) + target.busy() + 1 - target.entry().slots();
+        double full = ahead
+                + target.waitingAtPeers()
+                + target.busy()
+                + 1
+                - target.entry().slots();
         return full <= 0 ? 0 : full / perMilli;
     }
 
@@ -423,8 +442,10 @@
         if (attempt != null) {
             attempt.target().ended();
             attempt.exchange().running.remove(attempt);
-            attempt.exchange().customer.ifPresent(customer ->
-                    customersInFlight.computeIfPresent(customer.name(), (_, count) -> count > 1 ? count - 1 : null));
+            attempt.exchange()
+                    .customer
+                    .ifPresent(customer -> customersInFlight.computeIfPresent(
+                            customer.name(), (_, count) -> count > 1 ? count - 1 : null));
         }
         return attempt;
     }
@@ -448,7 +469,7 @@
                 if (exchange.tried.size() < MAX_UNSENT || exchange.service.sharded()) {
                     enqueue(exchange);
                 } else {
-                    finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS), now);
+                    finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS));
                 }
             }
             case AttemptResult.Lost _ -> {
@@ -501,10 +522,10 @@
             return;
         }
         long comeBack = Math.max(RETRY_AFTER_FLOOR_MILLIS, (long) expectedWait(exchange, now));
-        finish(exchange, exchange.mayHaveRun ? RefusalReason.LOST_ANSWER : reason, spread(comeBack), now);
+        finish(exchange, exchange.mayHaveRun ? RefusalReason.LOST_ANSWER : reason, spread(comeBack));
     }
 
-    private void finish(Exchange exchange, RefusalReason reason, long retryAfter, long now) {
+    private void finish(Exchange exchange, RefusalReason reason, long retryAfter) {
         if (exchange.done) {
             return;
         }
@@ -546,14 +567,14 @@
     public List<GatewayEffect> tick(long now) {
         fleet.tick(now);
         while (!expiry.isEmpty() && (expiry.peek().done || expiry.peek().giveUpAt <= now)) {
-            expired(expiry.poll(), now);
+            expired(expiry.poll());
         }
         refuseHopeless(now);
         dispatchAll(now);
         return taken();
     }
 
-    private void expired(Exchange exchange, long now) {
+    private void expired(Exchange exchange) {
         if (exchange.done) {
             return;
         }
@@ -561,8 +582,7 @@
         finish(
                 exchange,
                 unsent ? RefusalReason.EXPIRED_UNSENT : RefusalReason.EXPIRED,
-                unsent ? spread(RETRY_AFTER_FLOOR_MILLIS) : 0,
-                now);
+                unsent ? spread(RETRY_AFTER_FLOOR_MILLIS) : 0);
     }
 
     /** Refuses what has waited so long that coming back later serves the caller better. */
@@ -571,7 +591,7 @@
             for (Exchange exchange : List.copyOf(list)) {
                 double longest = exchange.route.objectiveMillis() * HOPELESS_SHARE;
                 if (now - exchange.arrivedAt > longest && exchange.attempts == 0) {
-                    finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS / 2), now);
+                    finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS / 2));
                 }
             }
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
@@ -34,11 +34,18 @@
      *
      * @param target the target
      * @param inFlight requests at the target
+     * @param waiting requests that wait at the host for this target alone
      * @param done good answers since the last report
      * @param doneMillis their mean time at a target that runs them alone
      * @param slowdownPercent the target's own report, 100 is as usual
      * @param slowdownAgeMillis how old that report is
      */
     public record TargetUse(
-            TargetId target, int inFlight, int done, int doneMillis, int slowdownPercent, int slowdownAgeMillis) {}
+            TargetId target,
+            int inFlight,
+            int waiting,
+            int done,
+            int doneMillis,
+            int slowdownPercent,
+            int slowdownAgeMillis) {}
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/FeedChoice.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/FeedChoice.java
@@ -8,8 +8,8 @@
  */
 public final class FeedChoice {
 
-    private static final long SILENT_MILLIS = 900;
-    private static final long STALE_MILLIS = 2_600;
+    private static final long SILENT_MILLIS = 700;
+    private static final long STALE_MILLIS = 1_200;
     private static final long PATIENCE_MILLIS = 700;
     private static final long AVOID_MILLIS = 2_000;
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipDuty.java
@@ -160,9 +160,7 @@
         }
         nextLeaseCall = now + CALL_TIMEOUT_MILLIS;
         effects.add(
-                lease == 0
-                        ? new MembershipEffect.ObtainLease(LEASE_MILLIS)
-                        : new MembershipEffect.RenewLease(lease));
+                lease == 0 ? new MembershipEffect.ObtainLease(LEASE_MILLIS) : new MembershipEffect.RenewLease(lease));
     }
 
     private void write(long now, List<MembershipEffect> effects) {
@@ -183,8 +181,8 @@
 
     private boolean mayClaim(long now) {
         if (grantor.isPresent()) {
-            boolean ownFormerLife = grantor.get().host().equals(self.host())
-                    && !grantor.get().sameLife(self);
+            boolean ownFormerLife =
+                    grantor.get().host().equals(self.host()) && !grantor.get().sameLife(self);
             return ownFormerLife || ended(grantor.get());
         }
         if (grantorAbsentSince == Long.MAX_VALUE) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantDuty.java
@@ -28,6 +28,9 @@
     private static final long SETTLE_MILLIS = 1_500;
     private static final long SILENT_MILLIS = 900;
     private static final long RETRY_MILLIS = 150;
+    /** Other hosts learn of a move a little later than the grantor, and stop sending to the old owner then. */
+    private static final long SPREAD_MILLIS = 20;
+
     private static final long WRITE_TIMEOUT_MILLIS = 3_000;
     private static final double COLD_SHARE = 0.6;
     private static final double MILLIS_PER_SECOND = 1000;
@@ -152,8 +155,7 @@
     private TargetGrants grantsOf(TargetId target) {
         return grants.computeIfAbsent(
                 target,
-                _ -> new TargetGrants(
-                        settings, predecessorUntil + settings.callTimeout() + settings.longestHold()));
+                _ -> new TargetGrants(settings, predecessorUntil + settings.callTimeout() + settings.longestHold()));
     }
 
     private boolean reborn(TargetId id, long incarnation) {
@@ -203,7 +205,8 @@
             move.next(Step.DONE);
             return;
         }
-        boolean expired = now >= move.expiresAt() && !grantsOf(assignment.owner()).busy();
+        boolean expired =
+                now >= move.expiresAt() && !grantsOf(assignment.owner()).busy();
         boolean waitsForOwner =
                 move.step() == Step.AWAIT_EXPIRY || move.step() == Step.RELEASE || move.step() == Step.FENCE_OWNER;
         if (waitsForOwner && (expired || reborn(assignment.owner(), assignment.incarnation()))) {
@@ -255,7 +258,9 @@
         if (owner.busy()) {
             expiresAt = Math.max(expiresAt, now + settings.callTimeout() + settings.longestHold());
         }
-        return new MoveProgress(first, assignment.fence(), expiresAt);
+        MoveProgress move = new MoveProgress(first, assignment.fence(), expiresAt);
+        move.retryAt(now + SPREAD_MILLIS);
+        return move;
     }
 
     /**
@@ -358,8 +363,8 @@
             if (entry.getValue().step() == Step.DONE) {
                 Assignment moved = entry.getKey();
                 Move move = moved.move().orElseThrow();
-                after = after.with(new Assignment(
-                        moved.range(), move.to(), move.incarnation(), move.fence(), Optional.empty()));
+                after = after.with(
+                        new Assignment(moved.range(), move.to(), move.incarnation(), move.fence(), Optional.empty()));
             }
         }
         return after;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -22,6 +22,7 @@
     private static final int MAX_JOINS = 16;
     /** More assignments than this for each target are joined where neighbours have the same owner. */
     private static final int ASSIGNMENTS_PER_TARGET = 3;
+
     private static final double PIECES_PER_TARGET = 3;
 
     private ShardPlanner() {}
@@ -91,7 +92,8 @@
                     && right.move().isEmpty()
                     && left.range().last() + 1 == right.range().first();
             if (joinable) {
-                KeyRange range = new KeyRange(left.range().first(), right.range().last());
+                KeyRange range =
+                        new KeyRange(left.range().first(), right.range().last());
                 return Optional.of(table.with(new Assignment(
                         range, left.owner(), left.incarnation(), table.lastFence() + 1, Optional.empty())));
             }
@@ -150,9 +152,8 @@
         }
 
         private void evacuateUnusable() {
-            double total = perSecond.values().stream()
-                    .mapToDouble(Double::doubleValue)
-                    .sum();
+            double total =
+                    perSecond.values().stream().mapToDouble(Double::doubleValue).sum();
             long usable = targets.values().stream().filter(PlanTarget::usable).count();
             if (usable == 0) {
                 return;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardTable.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardTable.java
@@ -30,7 +30,8 @@
             if (last != null && last.range().last() + 1 == next.range().first() && last.sameOwnership(next)) {
                 result.set(
                         result.size() - 1,
-                        last.part(new KeyRange(last.range().first(), next.range().last())));
+                        last.part(
+                                new KeyRange(last.range().first(), next.range().last())));
             } else {
                 result.add(next);
             }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -52,8 +52,8 @@
     private static final long CONTROL_TICK_MILLIS = 50;
     private static final long REPORT_MILLIS = 125;
     private static final long FEED_TICK_MILLIS = 100;
-    private static final long HEARTBEAT_MILLIS = 300;
-    private static final long WATCH_MILLIS = 1_000;
+    private static final long HEARTBEAT_MILLIS = 200;
+    private static final long WATCH_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
     private static final RequestLimits FIRST_LIMITS = new RequestLimits(16_384, 1 << 20, 5_000, 15_000);
 
@@ -183,8 +183,7 @@
     private void followFeed() {
         boolean direct = feed.direct(now());
         mirror.follow(
-                direct,
-                feed.source(now()).map(source -> relayAddress(SocketAddresses.parse(source.peerAddress()))));
+                direct, feed.source(now()).map(source -> relayAddress(SocketAddresses.parse(source.peerAddress()))));
     }
 
     private void heartbeat() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/ReadinessServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/ReadinessServer.java
@@ -56,8 +56,7 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             HttpResponseStatus status =
                     ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-            FullHttpResponse answer =
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
             context.writeAndFlush(answer);
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -149,7 +149,8 @@
 
     private void attemptAnswered(GatewayEffect.Send send, Waiting exchange, FullHttpResponse answer) {
         long now = clock.getAsLong();
-        messages.load(answer).ifPresent(load -> gateway.loadReported(send.target().id(), load, now));
+        messages.load(answer)
+                .ifPresent(load -> gateway.loadReported(send.target().id(), load, now));
         AttemptResult result = messages.read(answer, exchange.requestId());
         if (!(result instanceof AttemptResult.Answered(AttemptResult.Grade grade))
                 || grade != AttemptResult.Grade.SUCCESS) {
@@ -174,12 +175,11 @@
                 send.target().id(),
                 failure,
                 now - exchange.since());
-        AttemptResult result =
-                switch (failure) {
-                    case NOT_SENT -> new AttemptResult.NotSent();
-                    case BROKEN, TIMED_OUT -> new AttemptResult.Lost(false);
-                    case MALFORMED -> new AttemptResult.Lost(true);
-                };
+        AttemptResult result = switch (failure) {
+            case NOT_SENT -> new AttemptResult.NotSent();
+            case BROKEN, TIMED_OUT -> new AttemptResult.Lost(false);
+            case MALFORMED -> new AttemptResult.Lost(true);
+        };
         run(gateway.ended(send.attempt(), result, now));
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -25,6 +25,7 @@
     private final Deque<CallerReply> replies = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private long lastUse;
+    private int writing;
     private boolean closing;
 
     CallerConnection(CallerServer server) {
@@ -95,13 +96,14 @@
         boolean close = !reply.keepAlive()
                 || server.draining()
                 || answer.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+        writing++;
         if (!close) {
-            context.write(answer);
+            context.write(answer).addListener(_ -> writing--);
             return;
         }
         answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         closing = true;
-        context.write(answer).addListener(ChannelFutureListener.CLOSE);
+        context.write(answer).addListener(_ -> writing--).addListener(ChannelFutureListener.CLOSE);
         dropReplies();
     }
 
@@ -112,7 +114,7 @@
     }
 
     boolean idleSince(long then) {
-        return replies.isEmpty() && lastUse < then;
+        return replies.isEmpty() && writing == 0 && lastUse < then;
     }
 
     void close() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -57,8 +57,7 @@
                     protected void initChannel(SocketChannel channel) {
                         RequestLimits present = limits.get();
                         channel.pipeline()
-                                .addLast(new HttpServerCodec(
-                                        MAX_LINE_BYTES, present.maxHeaderBytes(), MAX_CHUNK_BYTES))
+                                .addLast(new HttpServerCodec(MAX_LINE_BYTES, present.maxHeaderBytes(), MAX_CHUNK_BYTES))
                                 .addLast(new HttpObjectAggregator(present.maxBodyBytes()))
                                 .addLast(new CallerConnection(CallerServer.this));
                     }
@@ -70,7 +69,8 @@
     }
 
     private void closeIdle() {
-        long then = TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) - limits.get().idleTimeoutMillis();
+        long then =
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) - limits.get().idleTimeoutMillis();
         for (CallerConnection connection : Set.copyOf(connections)) {
             if (connection.idleSince(then)) {
                 connection.close();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -141,7 +141,7 @@
         if (tableRevisions.getOrDefault(service, 0L) >= item.revision()) {
             return;
         }
-        FleetRecords.table(item.value())
+        TableCodec.decode(item.value())
                 .ifPresentOrElse(
                         table -> table(service, table, item.revision()),
                         () -> LOG.warn("event=table_unreadable service={} revision={}", service, item.revision()));
@@ -184,23 +184,25 @@
 
     private void run(MembershipEffect effect, long now) {
         switch (effect) {
-            case MembershipEffect.ObtainLease obtain -> store.lease(obtain.millis(), result -> {
-                if (result.isRight()) {
-                    membership.leased(result.get(), now);
-                } else {
-                    membership.leaseCallFailed(clock.getAsLong());
-                }
-            });
-            case MembershipEffect.RenewLease renewal -> store.renew(renewal.lease(), result -> {
-                if (result.isRight()) {
-                    membership.renewed(now);
-                } else if (result.getLeft() == StoreError.LEASE_ENDED) {
-                    LOG.info("event=lease_ended lease={}", renewal.lease());
-                    membership.leaseEnded();
-                } else {
-                    membership.leaseCallFailed(clock.getAsLong());
-                }
-            });
+            case MembershipEffect.ObtainLease obtain ->
+                store.lease(obtain.millis(), result -> {
+                    if (result.isRight()) {
+                        membership.leased(result.get(), now);
+                    } else {
+                        membership.leaseCallFailed(clock.getAsLong());
+                    }
+                });
+            case MembershipEffect.RenewLease renewal ->
+                store.renew(renewal.lease(), result -> {
+                    if (result.isRight()) {
+                        membership.renewed(now);
+                    } else if (result.getLeft() == StoreError.LEASE_ENDED) {
+                        LOG.info("event=lease_ended lease={}", renewal.lease());
+                        membership.leaseEnded();
+                    } else {
+                        membership.leaseCallFailed(clock.getAsLong());
+                    }
+                });
             case MembershipEffect.Register register ->
                 write(
                         List.of(),
@@ -230,10 +232,7 @@
     }
 
     private void grantsChanged(MembershipEffect.GrantsChanged changed, long now) {
-        LOG.info(
-                "event=grants_changed leading={} predecessorEnded={}",
-                changed.leading(),
-                changed.predecessorEnded());
+        LOG.info("event=grants_changed leading={} predecessorEnded={}", changed.leading(), changed.predecessorEnded());
         leading = changed.leading();
         predecessorEnded = changed.predecessorEnded();
         for (GrantDuty duty : duties.values()) {
@@ -253,11 +252,8 @@
                     directory
                             .target(grant.target())
                             .ifPresentOrElse(
-                                    target -> grantClient.grant(
-                                            target.entry(),
-                                            grant,
-                                            settings.callTimeout(),
-                                            result -> {
+                                    target ->
+                                            grantClient.grant(target.entry(), grant, settings.callTimeout(), result -> {
                                                 logUnlessDone(grant, result);
                                                 ended(duty, grant.call(), result);
                                             }),
@@ -267,10 +263,7 @@
                             .target(release.target())
                             .ifPresentOrElse(
                                     target -> grantClient.release(
-                                            target.entry(),
-                                            release,
-                                            RELEASE_TIMEOUT_MILLIS,
-                                            result -> {
+                                            target.entry(), release, RELEASE_TIMEOUT_MILLIS, result -> {
                                                 LOG.info("event=keys_released release={} result={}", release, result);
                                                 ended(duty, release.call(), result);
                                             }),
@@ -297,15 +290,14 @@
         List<StoreClient.Expected> expected = new ArrayList<>();
         expected.add(new StoreClient.Expected(FleetRecords.GRANTOR, membership.grantorRevision()));
         expected.add(new StoreClient.Expected(key, persist.expectedRevision()));
-        store.commit(
-                expected, List.of(new StoreClient.Put(key, FleetRecords.encode(persist.table()), 0)), result -> {
-                    if (result.isRight()) {
-                        table(persist.service(), persist.table(), result.get());
-                        run(duty, duty.tick(membership.leaseConfirmed(clock.getAsLong()), clock.getAsLong()));
-                    } else if (result.getLeft() != StoreError.UNKNOWN) {
-                        duty.notStored();
-                    }
-                });
+        store.commit(expected, List.of(new StoreClient.Put(key, TableCodec.encode(persist.table()), 0)), result -> {
+            if (result.isRight()) {
+                table(persist.service(), persist.table(), result.get());
+                run(duty, duty.tick(membership.leaseConfirmed(clock.getAsLong()), clock.getAsLong()));
+            } else if (result.getLeft() != StoreError.UNKNOWN) {
+                duty.notStored();
+            }
+        });
     }
 
     /** Gives the grants and the lease back, so that another host takes over at once. */
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -70,8 +70,7 @@
             Peer peer, FullHttpRequest request, long timeoutMillis, double maxIdleShare, CallListener listener) {
         Call call = new Call(request, listener);
         if (timeoutMillis > 0) {
-            call.timeout(loop.schedule(
-                    () -> call.fail(CallFailure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS));
+            call.timeout(loop.schedule(() -> call.fail(CallFailure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS));
         }
         Connection connection = take(peer, maxIdleShare);
         if (connection == null) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
@@ -39,7 +39,8 @@
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-                        ReportCodec.decode(ByteBufUtil.getBytes(packet.content())).ifPresent(receiver);
+                        ReportCodec.decode(ByteBufUtil.getBytes(packet.content()))
+                                .ifPresent(receiver);
                     }
 
                     @Override
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
@@ -38,6 +38,7 @@
             for (PeerReport.TargetUse use : report.targets()) {
                 packer.packString(use.target().value());
                 packer.packInt(use.inFlight());
+                packer.packInt(use.waiting());
                 packer.packInt(use.done());
                 packer.packInt(use.doneMillis());
                 packer.packInt(use.slowdownPercent());
@@ -92,6 +93,7 @@
                     unpacker.unpackInt(),
                     unpacker.unpackInt(),
                     unpacker.unpackInt(),
+                    unpacker.unpackInt(),
                     unpacker.unpackInt()));
         }
         Map<CustomerName, Long> admitted = new HashMap<>();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -56,12 +56,7 @@
     }
 
     private StoreMirror(
-            EventLoop loop,
-            StoreClient store,
-            String prefix,
-            long waitMillis,
-            LongSupplier clock,
-            Listener listener) {
+            EventLoop loop, StoreClient store, String prefix, long waitMillis, LongSupplier clock, Listener listener) {
         this.loop = loop;
         this.store = store;
         this.prefix = prefix;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/target/TargetMessages.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/target/TargetMessages.java
@@ -76,10 +76,7 @@
         }
         boolean sealed = answer.headers().contains(names.seal());
         return switch (status / 100) {
-            case 2 ->
-                sealed
-                        ? new AttemptResult.Answered(AttemptResult.Grade.SUCCESS)
-                        : new AttemptResult.Lost(true);
+            case 2 -> sealed ? new AttemptResult.Answered(AttemptResult.Grade.SUCCESS) : new AttemptResult.Lost(true);
             case 5 ->
                 status == 503
                         ? new AttemptResult.Lost(false)
@@ -102,7 +99,8 @@
         if (told == null) {
             return Optional.empty();
         }
-        List<Integer> figures = COMMAS.splitToStream(told).map(Ints::tryParse).collect(java.util.stream.Collectors.toList());
+        List<Integer> figures =
+                COMMAS.splitToStream(told).map(Ints::tryParse).collect(java.util.stream.Collectors.toList());
         if (figures.size() < 3 || figures.contains(null)) {
             return Optional.empty();
         }
