--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.dragonflymux.core.name.TargetId;
 
 /**
@@ -20,6 +21,9 @@
     private static final double IMBALANCE = 1.5;
     private static final double MIN_GAIN = 0.2;
     private static final int MAX_JOINS = 16;
+    private static final int MAX_CONSOLIDATIONS = 6;
+    /** A range of less than this part of a target's even share is small. */
+    private static final int SMALL_PART = 2;
     /** More assignments than this for each target are joined where neighbours have the same owner. */
     private static final int ASSIGNMENTS_PER_TARGET = 3;
 
@@ -129,6 +133,9 @@
             if (moves.isEmpty()) {
                 balance();
             }
+            if (moves.isEmpty()) {
+                consolidate();
+            }
             return moves;
         }
 
@@ -163,13 +170,49 @@
                 if (assignment.move().isEmpty() && !ownerUsable(assignment)) {
                     for (KeyRange piece : pieces(assignment.range(), quantum)) {
                         if (moving + moves.size() < MAX_MOVES_AT_ONCE) {
-                            leastUsed(assignment.owner()).ifPresent(to -> move(piece, assignment.owner(), to.id()));
+                            destination(piece, assignment).ifPresent(to -> move(piece, assignment.owner(), to));
                         }
                     }
                 }
             }
         }
 
+        /** Returns where a piece goes: to a neighbour's owner if it is small, so that the two can be joined. */
+        private Optional<TargetId> destination(KeyRange piece, Assignment from) {
+            Optional<TargetId> neighbour = piece.size() < smallSize() ? roomyNeighbour(piece, from) : Optional.empty();
+            return neighbour.or(() -> leastUsed(from.owner()).map(PlanTarget::id));
+        }
+
+        private int smallSize() {
+            return KeyRange.ALL.size() / targets.size() / SMALL_PART;
+        }
+
+        private Optional<TargetId> roomyNeighbour(KeyRange piece, Assignment from) {
+            return Stream.of(table.owner(piece.first() - 1), table.owner(piece.last() + 1))
+                    .flatMap(Optional::stream)
+                    .map(assignment -> assignment.move().map(Move::to).orElse(assignment.owner()))
+                    .filter(id -> !id.equals(from.owner()))
+                    .filter(id -> targets.containsKey(id) && targets.get(id).usable())
+                    .filter(id ->
+                            use(id) + load.perSecond(piece) / targets.get(id).perSecond() < CROWDED)
+                    .min(Comparator.comparingDouble(this::use));
+        }
+
+        /** Moves small ranges with little load to their neighbours' owners where there are many assignments. */
+        private void consolidate() {
+            if (table.assignments().size() <= targets.size() * ASSIGNMENTS_PER_TARGET) {
+                return;
+            }
+            table.assignments().stream()
+                    .filter(assignment -> assignment.move().isEmpty())
+                    .filter(assignment -> assignment.range().size() < smallSize())
+                    .sorted(Comparator.comparingDouble((Assignment assignment) -> load.perSecond(assignment.range()))
+                            .thenComparingInt(assignment -> assignment.range().size()))
+                    .limit(MAX_CONSOLIDATIONS)
+                    .forEach(assignment -> roomyNeighbour(assignment.range(), assignment)
+                            .ifPresent(to -> move(assignment.range(), assignment.owner(), to)));
+        }
+
         private List<KeyRange> pieces(KeyRange range, double quantum) {
             double inRange = load.perSecond(range);
             int fairSize = KeyRange.ALL.size() / targets.size() + 1;
--- /dev/null
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantDutyTest.java
@@ -0,0 +1,248 @@
+package org.dragonflymux.core.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflymux.core.balance.TargetDirectory;
+import org.dragonflymux.core.balance.TargetEntry;
+import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class GrantDutyTest {
+
+    private static final ServiceName SERVICE = ServiceName.of("orders");
+    private static final GrantSettings SETTINGS = GrantSettings.within(10_000);
+    private static final long START = 100_000;
+    private static final KeyRange RANGE = new KeyRange(0, 99);
+
+    private final TargetDirectory directory = TargetDirectory.empty();
+    private final GrantDuty duty =
+            GrantDuty.of(new ServiceSpec(SERVICE, "/health", 100, 3_000, 10, true), SETTINGS, directory);
+    private long now = START;
+
+    private static TargetEntry entry(String id, long incarnation, boolean draining) {
+        return new TargetEntry(
+                TargetId.of(id), SERVICE, "127.0.0.1:1", FailureDomain.of("a"), 3, draining, 0, incarnation);
+    }
+
+    private static Assignment owned(String owner, long fence) {
+        return new Assignment(RANGE, TargetId.of(owner), 1, fence, Optional.empty());
+    }
+
+    private static Assignment moving(String owner, long fence, String to, long nextFence) {
+        return new Assignment(
+                RANGE, TargetId.of(owner), 1, fence, Optional.of(new Move(TargetId.of(to), 1, nextFence)));
+    }
+
+    private static ShardTable table(Assignment assignment) {
+        return ShardTable.EMPTY.with(assignment);
+    }
+
+    private <T extends GrantEffect> List<T> of(Class<T> type, List<GrantEffect> effects) {
+        return effects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    private List<GrantEffect> tick() {
+        return duty.tick(true, now);
+    }
+
+    private List<GrantEffect> runFor(long millis) {
+        List<GrantEffect> effects = new ArrayList<>();
+        for (long end = now + millis; now < end; now += 50) {
+            effects.addAll(tick());
+        }
+        return effects;
+    }
+
+    @BeforeEach
+    void twoTargets() {
+        directory.replace(List.of(entry("a", 1, false), entry("b", 1, false)), now);
+    }
+
+    @Nested
+    class Renewal {
+
+        @BeforeEach
+        void lead() {
+            duty.stored(table(owned("a", 5)), 1);
+            duty.lead(true, now);
+        }
+
+        @Test
+        void grants_what_the_table_says_at_once() {
+            assertThat(of(GrantEffect.Grant.class, tick()))
+                    .extracting(GrantEffect.Grant::target, GrantEffect.Grant::fence)
+                    .containsExactly(org.assertj.core.groups.Tuple.tuple(TargetId.of("a"), 5L));
+        }
+
+        @Test
+        void happens_again_well_before_a_hold_ends() {
+            GrantEffect.Grant first = of(GrantEffect.Grant.class, tick()).getFirst();
+            duty.ended(first.call(), new GrantResult.Done(Optional.empty()), now);
+            now += SETTINGS.hold() / 2;
+
+            assertThat(of(GrantEffect.Grant.class, tick())).hasSize(1);
+        }
+
+        @Test
+        void goes_on_while_the_lease_is_not_confirmed() {
+            assertThat(of(GrantEffect.Grant.class, duty.tick(false, now))).hasSize(1);
+        }
+
+        @Test
+        void ends_with_the_duty() {
+            duty.stopLeading();
+
+            assertThat(tick()).isEmpty();
+        }
+    }
+
+    @Nested
+    class Moving {
+
+        private List<GrantEffect> begin(boolean predecessorEnded) {
+            duty.stored(table(owned("a", 5)), 1);
+            duty.lead(predecessorEnded, now);
+            GrantEffect.Grant renewal = of(GrantEffect.Grant.class, tick()).getFirst();
+            duty.ended(renewal.call(), new GrantResult.Done(Optional.empty()), now);
+            directory.replace(List.of(entry("a", 1, true), entry("b", 1, false)), now);
+            now += 250;
+            List<GrantEffect> planned = tick();
+            GrantEffect.Persist persist = of(GrantEffect.Persist.class, planned).getFirst();
+            assertThat(of(GrantEffect.Release.class, planned)).isEmpty();
+            duty.stored(persist.table(), 2);
+            return runFor(100);
+        }
+
+        @Test
+        void releases_only_after_the_store_has_the_intention() {
+            assertThat(of(GrantEffect.Release.class, begin(true)))
+                    .extracting(GrantEffect.Release::target)
+                    .containsExactly(TargetId.of("a"));
+        }
+
+        @Test
+        void hands_the_old_owners_token_to_the_new_owner_under_a_higher_fence() {
+            GrantEffect.Release release =
+                    of(GrantEffect.Release.class, begin(true)).getFirst();
+
+            List<GrantEffect> after = duty.ended(release.call(), new GrantResult.Done(Optional.of("token")), now);
+
+            GrantEffect.Grant grant = of(GrantEffect.Grant.class, after).getFirst();
+            assertThat(grant.target()).isEqualTo(TargetId.of("b"));
+            assertThat(grant.fence()).isGreaterThan(5);
+            assertThat(grant.handover()).contains("token");
+        }
+
+        @Test
+        void fences_the_old_owner_anew_while_a_predecessor_may_still_renew() {
+            List<GrantEffect> first = begin(false);
+
+            assertThat(of(GrantEffect.Release.class, first)).isEmpty();
+            GrantEffect.Grant fencing = of(GrantEffect.Grant.class, first).getFirst();
+            assertThat(fencing.target()).isEqualTo(TargetId.of("a"));
+            List<GrantEffect> next = duty.ended(fencing.call(), new GrantResult.Done(Optional.empty()), now);
+            assertThat(of(GrantEffect.Release.class, next).getFirst().fence()).isEqualTo(fencing.fence());
+        }
+
+        @Test
+        void does_not_go_on_without_a_confirmed_lease() {
+            duty.stored(table(moving("a", 5, "b", 9)), 1);
+            duty.lead(true, now);
+            now += 1_000;
+
+            assertThat(duty.tick(false, now)).isEmpty();
+        }
+    }
+
+    @Nested
+    class UnreachableOwner {
+
+        private List<GrantEffect> failEveryCall(long millis) {
+            List<GrantEffect> seen = new ArrayList<>();
+            for (long end = now + millis; now < end; now += 50) {
+                for (GrantEffect effect : tick()) {
+                    seen.add(effect);
+                    if (effect instanceof GrantEffect.Grant grant
+                            && grant.target().equals(TargetId.of("a"))) {
+                        duty.ended(grant.call(), new GrantResult.Unknown(), now);
+                    } else if (effect instanceof GrantEffect.Release release) {
+                        duty.ended(release.call(), new GrantResult.Unknown(), now);
+                    } else if (effect instanceof GrantEffect.Persist persist) {
+                        duty.stored(persist.table(), now);
+                    }
+                }
+            }
+            return seen;
+        }
+
+        private boolean grantedToOther(List<GrantEffect> effects) {
+            return of(GrantEffect.Grant.class, effects).stream()
+                    .anyMatch(grant -> grant.target().equals(TargetId.of("b")));
+        }
+
+        @Test
+        void keeps_its_keys_until_the_last_grant_has_run_out() {
+            duty.stored(table(owned("a", 5)), 1);
+            duty.lead(true, now);
+
+            assertThat(grantedToOther(failEveryCall(SETTINGS.hold()))).isFalse();
+            assertThat(grantedToOther(failEveryCall(6_000))).isTrue();
+        }
+
+        @Test
+        void keeps_its_keys_longer_where_a_predecessor_may_still_renew() {
+            duty.stored(table(owned("a", 5)), 1);
+            duty.lead(false, now);
+
+            assertThat(grantedToOther(failEveryCall(SETTINGS.predecessorRenews())))
+                    .isFalse();
+            assertThat(grantedToOther(failEveryCall(8_000))).isTrue();
+        }
+
+        @Test
+        void loses_its_keys_at_once_when_another_life_of_it_registers() {
+            duty.stored(table(moving("a", 5, "b", 9)), 1);
+            duty.lead(true, now);
+            directory.replace(List.of(entry("a", 2, false), entry("b", 1, false)), now);
+            now += 600;
+
+            assertThat(grantedToOther(tick())).isTrue();
+        }
+    }
+
+    @Nested
+    class PredecessorsMove {
+
+        @Test
+        void is_resumed_by_a_release_and_never_grants_to_the_old_owner_again() {
+            duty.stored(table(moving("a", 5, "b", 9)), 1);
+            duty.lead(false, now);
+
+            List<GrantEffect> effects = runFor(1_000);
+
+            assertThat(of(GrantEffect.Release.class, effects))
+                    .extracting(GrantEffect.Release::fence)
+                    .containsExactly(8L);
+            assertThat(of(GrantEffect.Grant.class, effects)).isEmpty();
+        }
+    }
+
+    @Test
+    void the_first_table_is_written_when_targets_have_had_time_to_register() {
+        duty.lead(true, now);
+        assertThat(of(GrantEffect.Persist.class, runFor(1_000))).isEmpty();
+
+        assertThat(of(GrantEffect.Persist.class, runFor(1_000)))
+                .first()
+                .extracting(persist -> persist.table().assignments().size())
+                .isEqualTo(2);
+    }
+}
