--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/CallerConnectionTest.java
@@ -0,0 +1,144 @@
+package org.dragonflymux.gateway.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.dragonflymux.core.desired.RequestLimits;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CallerConnectionTest implements CallerHandler {
+
+    private final List<CallerReply> replies = new ArrayList<>();
+    private final List<String> paths = new ArrayList<>();
+    private final List<String> gone = new ArrayList<>();
+    private final CallerServer server =
+            CallerServer.on(null, this, () -> new RequestLimits(8_192, 65_536, 3_000, 15_000));
+    private final EmbeddedChannel channel =
+            new EmbeddedChannel(new HttpServerCodec(), new HttpObjectAggregator(65_536), new CallerConnection(server));
+
+    @Override
+    public void requested(FullHttpRequest request, CallerReply reply) {
+        String path = request.uri();
+        paths.add(path);
+        replies.add(reply);
+        reply.whenGone(() -> gone.add(path));
+    }
+
+    private void send(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    private static FullHttpResponse answer(String body) {
+        FullHttpResponse answer = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+        answer.headers().set("Content-Length", body.length());
+        return answer;
+    }
+
+    private String written() {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf bytes = channel.readOutbound(); bytes != null; bytes = channel.readOutbound()) {
+            text.append(bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+        }
+        return text.toString();
+    }
+
+    @Nested
+    class Pipelining {
+
+        @Test
+        void answers_go_out_in_the_order_of_the_requests() {
+            send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertThat(paths).containsExactly("/1", "/2");
+
+            replies.get(1).answer(answer("second"));
+            assertThat(written()).isEmpty();
+            replies.get(0).answer(answer("first"));
+
+            assertThat(written()).containsSubsequence("first", "second");
+        }
+
+        @Test
+        void requests_behind_an_answer_that_closes_are_dropped_unanswered() {
+            send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            replies.get(0).answer(answer("first"));
+
+            assertThat(written()).contains("first").contains("connection: close");
+            assertThat(channel.isOpen()).isFalse();
+        }
+    }
+
+    @Nested
+    class Leaving {
+
+        @Test
+        void a_caller_that_goes_away_gives_up_what_waits() {
+            send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+            channel.close();
+
+            assertThat(gone).containsExactly("/1");
+        }
+
+        @Test
+        void an_answer_after_that_does_no_harm() {
+            send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+            channel.close();
+            FullHttpResponse late = answer("late");
+            replies.get(0).answer(late);
+
+            assertThat(late.refCnt()).isZero();
+        }
+
+        @Test
+        void a_draining_server_closes_each_connection_with_its_answer() {
+            server.drain();
+            send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+            replies.get(0).answer(answer("last"));
+
+            assertThat(written()).contains("connection: close");
+            assertThat(channel.isOpen()).isFalse();
+        }
+    }
+
+    @Nested
+    class BadInput {
+
+        @Test
+        void bytes_that_are_no_request_get_a_400_and_a_close() {
+            send("NONSENSE\r\n\r\n");
+
+            assertThat(written()).startsWith("HTTP/1.1 400");
+            assertThat(channel.isOpen()).isFalse();
+            assertThat(paths).isEmpty();
+        }
+
+        @Test
+        void two_different_lengths_are_no_request() {
+            send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde");
+
+            assertThat(written()).startsWith("HTTP/1.1 400");
+            assertThat(paths).isEmpty();
+        }
+
+        @Test
+        void a_body_that_is_too_large_gets_a_413() {
+            send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n");
+
+            assertThat(written()).startsWith("HTTP/1.1 413");
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/target/TargetMessagesTest.java
@@ -0,0 +1,156 @@
+package org.dragonflymux.gateway.target;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.dragonflymux.core.balance.LoadReport;
+import org.dragonflymux.core.balance.TargetEntry;
+import org.dragonflymux.core.gateway.AttemptResult;
+import org.dragonflymux.core.gateway.GatewayEffect;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.gateway.WireNames;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TargetMessagesTest {
+
+    private static final WireNames NAMES = new WireNames(
+            "Id",
+            "Wait",
+            "Credential",
+            "Customer",
+            "Expected",
+            "Name",
+            "Key",
+            "Seal",
+            "Not-Run",
+            "Load",
+            "Cold",
+            "Hand");
+
+    private final TargetMessages messages = TargetMessages.with(NAMES);
+
+    private static FullHttpResponse answer(int status, String... headers) {
+        FullHttpResponse answer = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.copiedBuffer("body", StandardCharsets.UTF_8));
+        for (int i = 0; i < headers.length; i += 2) {
+            answer.headers().set(headers[i], headers[i + 1]);
+        }
+        return answer;
+    }
+
+    @Nested
+    class Answers {
+
+        @Test
+        void a_sealed_answer_to_the_request_is_a_success() {
+            assertThat(messages.read(answer(200, "Id", "x", "Seal", "s"), "x"))
+                    .isEqualTo(new AttemptResult.Answered(AttemptResult.Grade.SUCCESS));
+        }
+
+        @Test
+        void a_success_without_a_seal_or_for_another_request_is_none() {
+            assertThat(messages.read(answer(200, "Id", "x"), "x")).isEqualTo(new AttemptResult.Lost(true));
+            assertThat(messages.read(answer(200, "Id", "y", "Seal", "s"), "x")).isEqualTo(new AttemptResult.Lost(true));
+        }
+
+        @Test
+        void only_a_target_that_says_so_has_not_run_it() {
+            assertThat(messages.read(answer(503, "Not-Run", "1"), "x")).isEqualTo(new AttemptResult.NotRun(false));
+            assertThat(messages.read(answer(421), "x")).isEqualTo(new AttemptResult.NotRun(true));
+            for (int status : new int[] {408, 429, 503}) {
+                assertThat(messages.read(answer(status, "Id", "x", "Seal", "s"), "x"))
+                        .as("status %d", status)
+                        .isEqualTo(new AttemptResult.Lost(false));
+            }
+        }
+
+        @Test
+        void a_load_tells_the_slowdown_where_it_has_a_fourth_figure() {
+            assertThat(messages.load(answer(200, "Load", "3,1,8"))).contains(new LoadReport(3, 1, 8, 100));
+            assertThat(messages.load(answer(200, "Load", "3,1,8,300"))).contains(new LoadReport(3, 1, 8, 300));
+            assertThat(messages.load(answer(200, "Load", "3,x,8"))).isEmpty();
+            assertThat(messages.load(answer(200))).isEmpty();
+        }
+
+        @Test
+        void callers_get_the_targets_status_seal_and_body_but_not_its_load() {
+            FullHttpResponse forwarded =
+                    messages.answer(answer(200, "Id", "x", "Seal", "s", "Load", "1,1,1", "Connection", "close"));
+
+            assertThat(forwarded.headers().get("Seal")).isEqualTo("s");
+            assertThat(forwarded.headers().contains("Load")).isFalse();
+            assertThat(forwarded.headers().contains("Connection")).isFalse();
+            assertThat(forwarded.headers().getInt("Content-Length")).isEqualTo(4);
+        }
+    }
+
+    @Nested
+    class Requests {
+
+        private FullHttpRequest forwarded(Optional<CustomerName> customer) {
+            FullHttpRequest original = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.POST,
+                    "/a/b?c=d",
+                    Unpooled.copiedBuffer("order", StandardCharsets.UTF_8));
+            original.headers()
+                    .set("Id", "x")
+                    .set("Credential", "secret")
+                    .set("Customer", "forged")
+                    .set("Expected", "forged")
+                    .set("Connection", "keep-alive, X-Hop")
+                    .set("X-Hop", "1")
+                    .set("Transfer-Encoding", "chunked")
+                    .set("Other", "kept");
+            TargetEntry target = new TargetEntry(
+                    TargetId.of("t"), ServiceName.of("s"), "127.0.0.1:1", FailureDomain.of("a"), 3, false, 0, 1);
+            return messages.request(original, new GatewayEffect.Send(1, 1, target, 700, customer, false));
+        }
+
+        @Test
+        void keep_method_path_body_and_name() {
+            FullHttpRequest request = forwarded(Optional.empty());
+
+            assertThat(request.uri()).isEqualTo("/a/b?c=d");
+            assertThat(request.content().toString(StandardCharsets.UTF_8)).isEqualTo("order");
+            assertThat(request.headers().get("Id")).isEqualTo("x");
+            assertThat(request.headers().get("Other")).isEqualTo("kept");
+        }
+
+        @Test
+        void never_carry_the_credential_or_what_a_caller_forged() {
+            FullHttpRequest request = forwarded(Optional.of(CustomerName.of("c")));
+
+            assertThat(request.headers().contains("Credential")).isFalse();
+            assertThat(request.headers().getAll("Customer")).containsExactly("c");
+            assertThat(request.headers().getAll("Expected")).containsExactly("t");
+            assertThat(forwarded(Optional.empty()).headers().contains("Customer"))
+                    .isFalse();
+        }
+
+        @Test
+        void carry_one_length_and_nothing_that_concerns_the_callers_connection() {
+            FullHttpRequest request = forwarded(Optional.empty());
+
+            assertThat(request.headers().getAll("Content-Length")).containsExactly("5");
+            assertThat(request.headers().contains("Transfer-Encoding")).isFalse();
+            assertThat(request.headers().contains("X-Hop")).isFalse();
+            assertThat(request.headers().get("Wait")).isEqualTo("700");
+        }
+    }
+}
