A caller that left before its request was read is not served

Change: reads go on until nothing is left, requests are decided about after that; the host's own lag is taken off what the caller waits. Large answers keep to their failure domain more. Test: a_request_is_not_decided_about_when_its_caller_left_before_it_was_read failed before.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetChoice.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetChoice.java
@@ -12,8 +12,8 @@
 public final class TargetChoice {
 
     private static final int QUEUED_PER_TARGET = 1;
-    private static final double OTHER_DOMAIN_MILLIS = 1;
-    private static final double OTHER_DOMAIN_MILLIS_LARGE = 25;
+    private static final double OTHER_DOMAIN_MILLIS = 6;
+    private static final double OTHER_DOMAIN_MILLIS_LARGE = 120;
     private static final double FAILURE_WEIGHT = 4;
     private static final double TIE_MILLIS = 4;
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -142,7 +142,7 @@
                 GatewayProcess::now,
                 relayAddress(options.peers()),
                 new MirrorListener());
-        every(TICK_MILLIS, () -> requests.run(gateway.tick(now())));
+        every(TICK_MILLIS, () -> requests.tick(TICK_MILLIS));
         every(CONTROL_TICK_MILLIS, this::controlTick);
         every(REPORT_MILLIS, this::report);
         every(FEED_TICK_MILLIS, this::followFeed);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -22,7 +22,6 @@
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.gateway.ArrivedRequest;
 import org.dragonflymux.core.gateway.AttemptResult;
 import org.dragonflymux.core.gateway.Gateway;
@@ -39,7 +38,6 @@
 /** Carries requests between callers, the gateway's decisions and targets. */
 final class RequestPath implements CallerHandler {
 
-    private static final Logger LOG = LogManager.getLogger(RequestPath.class);
     private static final double MAX_IDLE_SHARE = 0.9;
     private static final double MAX_IDLE_SHARE_ONCE_ONLY = 0.4;
     private static final double MILLIS_PER_SECOND = 1000;
@@ -49,9 +47,12 @@
     private final TargetMessages messages;
     private final WireNames names;
     private final LongSupplier clock;
+    private final BoundedLog log = new BoundedLog(LogManager.getLogger(RequestPath.class));
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private long lastExchange;
+    private long lastTick;
+    private long lag;
     private FullHttpResponse presentAnswer;
 
     private record Waiting(FullHttpRequest request, CallerReply reply, String requestId, long since) {}
@@ -91,7 +92,7 @@
                 query < 0 ? uri : uri.substring(0, query),
                 Optional.ofNullable(request.headers().get(names.credential())),
                 key == null ? OptionalInt.empty() : OptionalInt.of(key),
-                wait == null ? OptionalLong.empty() : OptionalLong.of(wait),
+                wait == null ? OptionalLong.empty() : OptionalLong.of(Math.max(0, wait - lag)),
                 fingerprint(request));
     }
 
@@ -104,6 +105,19 @@
         return hasher.hash().asLong();
     }
 
+    /**
+     * Does what is due.
+     *
+     * @param everyMillis the time between two calls; what is beyond it is how long requests lay unread at most
+     */
+    void tick(long everyMillis) {
+        long now = clock.getAsLong();
+        lag = lastTick == 0 ? 0 : Math.max(0, now - lastTick - 2 * everyMillis);
+        lastTick = now;
+        log.tick(now);
+        run(gateway.tick(now));
+    }
+
     /** Carries out what the gateway wants. */
     void run(List<GatewayEffect> effects) {
         for (GatewayEffect effect : effects) {
@@ -154,7 +168,7 @@
         AttemptResult result = messages.read(answer, exchange.requestId());
         if (!(result instanceof AttemptResult.Answered(AttemptResult.Grade grade))
                 || grade != AttemptResult.Grade.SUCCESS) {
-            LOG.info(
+            log.info(
                     "event=attempt_ended id={} target={} result={} status={} millis={}",
                     exchange.requestId(),
                     send.target().id(),
@@ -169,7 +183,7 @@
 
     private void attemptFailed(GatewayEffect.Send send, Waiting exchange, CallFailure failure) {
         long now = clock.getAsLong();
-        LOG.info(
+        log.info(
                 "event=attempt_failed id={} target={} failure={} millis={}",
                 exchange.requestId(),
                 send.target().id(),
@@ -195,7 +209,7 @@
         if (exchange == null) {
             return;
         }
-        LOG.info(
+        log.info(
                 "event=request_refused id={} reason={} retryAfterMillis={} millis={}",
                 exchange.requestId(),
                 refuse.reason(),
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -64,7 +64,15 @@
         if (replies.size() >= MAX_PIPELINED) {
             ctx.channel().config().setAutoRead(false);
         }
-        server.handler().requested(request, reply);
+        // Decided about after all that has arrived was read, so that a caller that has left already is seen to have
+        // left.
+        ctx.channel().eventLoop().execute(() -> decide(request, reply));
+    }
+
+    private void decide(FullHttpRequest request, CallerReply reply) {
+        if (!reply.ended()) {
+            server.handler().requested(request, reply);
+        }
     }
 
     private static FullHttpResponse badRequest() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerReply.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerReply.java
@@ -47,6 +47,10 @@
         }
     }
 
+    boolean ended() {
+        return ended;
+    }
+
     FullHttpResponse takeAnswer() {
         FullHttpResponse taken = answer;
         answer = null;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.gateway.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -52,6 +53,9 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads go on until nothing is left, the caller's end of the connection included.
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/CallerConnectionTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/CallerConnectionTest.java
@@ -93,6 +93,20 @@
             assertThat(gone).containsExactly("/1");
         }
 
+        /** Requests lay unread on a busy host; 69 were passed on after their callers had left on a bench day. */
+        @Test
+        void a_request_is_not_decided_about_when_its_caller_left_before_it_was_read() {
+            channel.eventLoop().execute(() -> {
+                channel.pipeline()
+                        .fireChannelRead(
+                                Unpooled.copiedBuffer("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", StandardCharsets.US_ASCII));
+                channel.pipeline().fireChannelInactive();
+            });
+            channel.runPendingTasks();
+
+            assertThat(paths).isEmpty();
+        }
+
         @Test
         void an_answer_after_that_does_no_harm() {
             send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
