The host's clock counts the time for which the machine was suspended

Cause: the monotonic clock stands still while a machine is suspended; a grantor that wakes would take its lease, and a host its credentials, for fresher than they are. Change: HostClock adds what the time of day shows beyond the monotonic clock. Ticks and reports come less often: 40 and 200 ms.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -48,15 +48,16 @@
 
     private static final Logger LOG = LogManager.getLogger(GatewayProcess.class);
     private static final int MAX_ANSWER_BYTES = 64 << 20;
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 40;
     private static final long CONTROL_TICK_MILLIS = 50;
-    private static final long REPORT_MILLIS = 125;
+    private static final long REPORT_MILLIS = 200;
     private static final long FEED_TICK_MILLIS = 100;
     private static final long HEARTBEAT_MILLIS = 200;
     private static final long WATCH_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
     private static final RequestLimits FIRST_LIMITS = new RequestLimits(16_384, 1 << 20, 5_000, 15_000);
 
+    private final HostClock clock = HostClock.system();
     private final GatewayOptions options;
     private final EventLoop loop;
     private final RecordDecoder decoder;
@@ -90,7 +91,7 @@
         this.gateway = Gateway.of(options.gateway(), random::nextLong);
         this.feed = FeedChoice.of(options.self());
         this.pool = ConnectionPool.on(loop, MAX_ANSWER_BYTES);
-        this.requests = new RequestPath(gateway, pool, names, GatewayProcess::now);
+        this.requests = new RequestPath(gateway, pool, names, clock);
         this.callers = CallerServer.on(loop, requests, this::limits);
         this.control = ControlLoop.of(
                 store,
@@ -98,7 +99,7 @@
                 MembershipDuty.of(options.self(), options.grants().predecessorRenews()),
                 options.grants(),
                 gateway.directory(),
-                GatewayProcess::now,
+                clock,
                 new ControlObserver());
     }
 
@@ -122,8 +123,8 @@
         return process;
     }
 
-    private static long now() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    private long now() {
+        return clock.getAsLong();
     }
 
     private RequestLimits limits() {
@@ -139,7 +140,7 @@
                 store,
                 decoder.prefix(),
                 WATCH_MILLIS,
-                GatewayProcess::now,
+                clock,
                 relayAddress(options.peers()),
                 new MirrorListener());
         every(TICK_MILLIS, () -> requests.tick(TICK_MILLIS));
