--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -113,6 +113,11 @@
         confirmedAt = Math.max(confirmedAt, at);
     }
 
+    /** Takes in that the machine was suspended, which the clock of requests doesn't count. */
+    public void suspended(long millis) {
+        confirmedAt -= millis;
+    }
+
     /** Takes in a desired state; an older one than the present is ignored. */
     public void desiredState(DesiredState newer) {
         if (desired.isPresent() && desired.get().version() >= newer.version()) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -178,6 +178,13 @@
             assertThat(gateway.ready(now)).isTrue();
         }
 
+        @Test
+        void trusts_no_credential_after_the_machine_was_suspended_for_long() {
+            gateway.suspended(WITHDRAWAL_MILLIS);
+
+            assertThat(reason(arrive("/read/x"))).isEqualTo(RefusalReason.STALE_CREDENTIALS);
+        }
+
         @Test
         void takes_another_hosts_word_that_its_desired_state_is_the_newest() {
             now += WITHDRAWAL_MILLIS;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -123,17 +123,23 @@
         return process;
     }
 
+    /** Returns the time that leases and news of the store are measured by. */
     private long now() {
         return clock.getAsLong();
     }
 
+    /** Returns the time that requests are measured by. */
+    private long requestTime() {
+        return clock.monotonicMillis();
+    }
+
     private RequestLimits limits() {
         return gateway.desired().map(DesiredState::limits).orElse(FIRST_LIMITS);
     }
 
     private void listen() {
         peerSocket = PeerSocket.open(loop, options.peers(), this::peerReported);
-        ReadinessServer.listen(loop, options.readiness(), () -> !stopping && gateway.ready(now()));
+        ReadinessServer.listen(loop, options.readiness(), () -> !stopping && gateway.ready(requestTime()));
         callers.listen(options.callers());
         mirror = StoreMirror.start(
                 loop,
@@ -171,7 +177,7 @@
 
     private void controlTick() {
         if (retention.holding()) {
-            gateway.directory().replace(retention.entries(now()), now());
+            gateway.directory().replace(retention.entries(now()), requestTime());
         }
         control.tick();
     }
@@ -194,14 +200,14 @@
     }
 
     private void report() {
-        PeerReport report = gateway.report(now());
+        PeerReport report = gateway.report(requestTime());
         control.requested(report.keys());
         peerSocket.send(report, peers);
     }
 
     private void peerReported(PeerReport report) {
         control.requested(report.keys());
-        requests.run(gateway.reported(report, now()));
+        requests.run(gateway.reported(report, requestTime()));
     }
 
     /** Keeps the gateway's knowledge up with the store. */
@@ -217,7 +223,7 @@
                 }
             }
             retention.present(targets, now());
-            gateway.directory().replace(retention.entries(now()), now());
+            gateway.directory().replace(retention.entries(now()), requestTime());
             gateway.directory().drain(drained);
             control.records(items);
             feed.grantor(control.grantor(), now());
@@ -255,7 +261,7 @@
 
         @Override
         public void confirmed(long at) {
-            gateway.storeConfirmed(at);
+            gateway.storeConfirmed(at - clock.sleptMillis());
         }
 
         @Override
@@ -279,7 +285,7 @@
                     service,
                     table.assignments().size(),
                     table.lastFence());
-            requests.run(gateway.shardTable(service, table, now()));
+            requests.run(gateway.shardTable(service, table, requestTime()));
         }
 
         @Override
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/HostClock.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/HostClock.java
@@ -5,7 +5,8 @@
 
 /**
  * Milliseconds that never go backwards and go on while the machine is suspended. The runtime's monotonic clock stands
- * still then, so leases would seem to hold that have long ended; the time of day tells how long the machine slept.
+ * still then, so leases would seem to hold that have long ended; the time of day tells how long the machine slept. A step
+ * of the time of day looks the same and costs a lease at worst, so what callers wait is measured by the monotonic clock.
  */
 final class HostClock implements LongSupplier {
 
@@ -28,7 +29,8 @@
         return new HostClock(System::nanoTime, System::currentTimeMillis);
     }
 
-    private long monotonicMillis() {
+    /** Returns the milliseconds of the monotonic clock, which stands still while the machine is suspended. */
+    long monotonicMillis() {
         return TimeUnit.NANOSECONDS.toMillis(monotonicNanos.getAsLong());
     }
 
@@ -36,6 +38,12 @@
         return timeOfDayMillis.getAsLong() - monotonicMillis();
     }
 
+    /** Returns for how long the machine was suspended so far, as far as can be told. */
+    long sleptMillis() {
+        getAsLong();
+        return sleptMillis;
+    }
+
     @Override
     public long getAsLong() {
         long present = difference();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -20,7 +20,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.dragonflymux.core.gateway.ArrivedRequest;
 import org.dragonflymux.core.gateway.AttemptResult;
@@ -46,18 +45,19 @@
     private final ConnectionPool pool;
     private final TargetMessages messages;
     private final WireNames names;
-    private final LongSupplier clock;
+    private final HostClock clock;
     private final BoundedLog log = new BoundedLog(LogManager.getLogger(RequestPath.class));
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private long lastExchange;
     private long lastTick;
     private long lag;
+    private long sleptMillis;
     private FullHttpResponse presentAnswer;
 
     private record Waiting(FullHttpRequest request, CallerReply reply, String requestId, long since) {}
 
-    RequestPath(Gateway gateway, ConnectionPool pool, WireNames names, LongSupplier clock) {
+    RequestPath(Gateway gateway, ConnectionPool pool, WireNames names, HostClock clock) {
         this.gateway = gateway;
         this.pool = pool;
         this.messages = TargetMessages.with(names);
@@ -65,15 +65,25 @@
         this.clock = clock;
     }
 
+    private void noteSuspension() {
+        long slept = clock.sleptMillis();
+        if (slept > sleptMillis) {
+            log.info("event=suspended millis={}", slept - sleptMillis);
+            gateway.suspended(slept - sleptMillis);
+            sleptMillis = slept;
+        }
+    }
+
     @Override
     public void requested(FullHttpRequest request, CallerReply reply) {
+        noteSuspension();
         long exchange = ++lastExchange;
-        long now = clock.getAsLong();
+        long now = clock.monotonicMillis();
         String id = request.headers().get(names.requestId(), "");
         waiting.put(exchange, new Waiting(request, reply, id, now));
         reply.whenGone(() -> {
             waiting.remove(exchange);
-            run(gateway.abandoned(exchange, clock.getAsLong()));
+            run(gateway.abandoned(exchange, clock.monotonicMillis()));
         });
         run(gateway.arrived(arrived(exchange, id, request), now));
     }
@@ -111,7 +121,8 @@
      * @param everyMillis the time between two calls; what is beyond it is how long requests lay unread at most
      */
     void tick(long everyMillis) {
-        long now = clock.getAsLong();
+        noteSuspension();
+        long now = clock.monotonicMillis();
         lag = lastTick == 0 ? 0 : Math.max(0, now - lastTick - 2 * everyMillis);
         lastTick = now;
         log.tick(now);
@@ -162,7 +173,7 @@
     }
 
     private void attemptAnswered(GatewayEffect.Send send, Waiting exchange, FullHttpResponse answer) {
-        long now = clock.getAsLong();
+        long now = clock.monotonicMillis();
         messages.load(answer)
                 .ifPresent(load -> gateway.loadReported(send.target().id(), load, now));
         AttemptResult result = messages.read(answer, exchange.requestId());
@@ -182,7 +193,7 @@
     }
 
     private void attemptFailed(GatewayEffect.Send send, Waiting exchange, CallFailure failure) {
-        long now = clock.getAsLong();
+        long now = clock.monotonicMillis();
         log.info(
                 "event=attempt_failed id={} target={} failure={} millis={}",
                 exchange.requestId(),
@@ -214,7 +225,7 @@
                 exchange.requestId(),
                 refuse.reason(),
                 refuse.retryAfterMillis(),
-                clock.getAsLong() - exchange.since());
+                clock.monotonicMillis() - exchange.since());
         FullHttpResponse answer = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, status(refuse.reason().outcome()), Unpooled.EMPTY_BUFFER);
         answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
