On a busy host a request is decided about after its connection was looked at once more

Change: a decision that comes more than 60 ms after the read is put off by one pass; the time for which a request lay here is taken off what its caller waits.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -52,6 +52,7 @@
     private long lastExchange;
     private long lastTick;
     private long lag;
+    private long maxLoopMillis = Long.MAX_VALUE / 4;
     private long sleptMillis;
     private FullHttpResponse presentAnswer;
 
@@ -85,10 +86,12 @@
             waiting.remove(exchange);
             run(gateway.abandoned(exchange, clock.monotonicMillis()));
         });
-        run(gateway.arrived(arrived(exchange, id, request), now));
+        // How long the request lay here before and after it was read.
+        long age = now - reply.readAt() + Math.max(lag, now - lastTick - maxLoopMillis);
+        run(gateway.arrived(arrived(exchange, id, request, Math.max(0, age)), now));
     }
 
-    private ArrivedRequest arrived(long exchange, String id, FullHttpRequest request) {
+    private ArrivedRequest arrived(long exchange, String id, FullHttpRequest request, long age) {
         String host = request.headers().get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
         int port = host.indexOf(':');
         String uri = request.uri();
@@ -102,7 +105,7 @@
                 query < 0 ? uri : uri.substring(0, query),
                 Optional.ofNullable(request.headers().get(names.credential())),
                 key == null ? OptionalInt.empty() : OptionalInt.of(key),
-                wait == null ? OptionalLong.empty() : OptionalLong.of(Math.max(0, wait - lag)),
+                wait == null ? OptionalLong.empty() : OptionalLong.of(Math.max(0, wait - age)),
                 fingerprint(request));
     }
 
@@ -123,7 +126,8 @@
     void tick(long everyMillis) {
         noteSuspension();
         long now = clock.monotonicMillis();
-        lag = lastTick == 0 ? 0 : Math.max(0, now - lastTick - 2 * everyMillis);
+        maxLoopMillis = 2 * everyMillis;
+        lag = lastTick == 0 ? 0 : Math.max(0, now - lastTick - maxLoopMillis);
         lastTick = now;
         log.tick(now);
         run(gateway.tick(now));
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -20,6 +20,8 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
     private static final int MAX_PIPELINED = 64;
+    private static final long FRESH_MILLIS = 60;
+    private static final int MAX_PUT_OFF = 4;
 
     private final CallerServer server;
     private final Deque<CallerReply> replies = new ArrayDeque<>();
@@ -40,7 +42,7 @@
     }
 
     private void used() {
-        lastUse = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        lastUse = nowMillis();
     }
 
     @Override
@@ -54,7 +56,7 @@
             return;
         }
         boolean keepAlive = HttpUtil.isKeepAlive(request);
-        CallerReply reply = new CallerReply(this, request, keepAlive);
+        CallerReply reply = new CallerReply(this, request, keepAlive, nowMillis());
         replies.addLast(reply);
         if (request.decoderResult().isFailure()) {
             server.malformed(request.decoderResult().cause());
@@ -66,13 +68,27 @@
         }
         // Decided about after all that has arrived was read, so that a caller that has left already is seen to have
         // left.
-        ctx.channel().eventLoop().execute(() -> decide(request, reply));
+        long readAt = nowMillis();
+        ctx.channel().eventLoop().execute(() -> decide(request, reply, readAt, 0));
     }
 
-    private void decide(FullHttpRequest request, CallerReply reply) {
-        if (!reply.ended()) {
-            server.handler().requested(request, reply);
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Has a request decided about; on a busy host that is put off until the connection has been looked at once more. */
+    private void decide(FullHttpRequest request, CallerReply reply, long lookedAt, int putOff) {
+        if (reply.ended()) {
+            return;
+        }
+        long now = nowMillis();
+        if (now - lookedAt > FRESH_MILLIS && putOff < MAX_PUT_OFF) {
+            context.channel()
+                    .eventLoop()
+                    .schedule(() -> decide(request, reply, now, putOff + 1), 1, TimeUnit.MILLISECONDS);
+            return;
         }
+        server.handler().requested(request, reply);
     }
 
     private static FullHttpResponse badRequest() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerReply.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerReply.java
@@ -9,14 +9,16 @@
     private final CallerConnection connection;
     private final FullHttpRequest request;
     private final boolean keepAlive;
+    private final long readAt;
     private FullHttpResponse answer;
     private Runnable whenGone = () -> {};
     private boolean ended;
 
-    CallerReply(CallerConnection connection, FullHttpRequest request, boolean keepAlive) {
+    CallerReply(CallerConnection connection, FullHttpRequest request, boolean keepAlive, long readAt) {
         this.connection = connection;
         this.request = request;
         this.keepAlive = keepAlive;
+        this.readAt = readAt;
     }
 
     /** Sets what is to be done when the caller goes away before the answer. */
@@ -47,6 +49,11 @@
         }
     }
 
+    /** Returns when the request was read, in milliseconds of the monotonic clock. */
+    public long readAt() {
+        return readAt;
+    }
+
     boolean ended() {
         return ended;
     }
