--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/ArrivedRequest.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/ArrivedRequest.java
@@ -14,7 +14,6 @@
  * @param credential the caller's credential
  * @param shardKey the key it is for
  * @param waitMillis how long the caller waits, from its arrival
- * @param fingerprint the same for requests that are the same to a target
  */
 public record ArrivedRequest(
         long exchange,
@@ -23,5 +22,4 @@
         String path,
         Optional<String> credential,
         OptionalInt shardKey,
-        OptionalLong waitMillis,
-        long fingerprint) {}
+        OptionalLong waitMillis) {}
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantSettings.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantSettings.java
@@ -18,7 +18,7 @@
     /** Returns the times that fit the longest grant that targets accept. */
     public static GrantSettings within(long maxHold) {
         long hold = Math.min(maxHold, 3_000);
-        return new GrantSettings(hold, hold / 3, 500, 10_000);
+        return new GrantSettings(hold, hold / 2, 500, 10_000);
     }
 
     /** Returns for how long a target may hold keys after a grant arrived. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -25,7 +25,7 @@
     /** A range of less than this part of a target's even share is small. */
     private static final int SMALL_PART = 2;
     /** More assignments than this for each target are joined where neighbours have the same owner. */
-    private static final int ASSIGNMENTS_PER_TARGET = 3;
+    private static final int ASSIGNMENTS_PER_TARGET = 2;
 
     private static final double PIECES_PER_TARGET = 3;
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
@@ -37,7 +37,7 @@
 
     private void failed(long sentAt, long now) {
         failingSince = Math.min(failingSince, sentAt);
-        retryAt = now + settings.renewEvery() / 4;
+        retryAt = now + settings.renewEvery() / 6;
     }
 
     /** Returns until when the target may hold what was granted so far. */
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -90,8 +90,7 @@
 
     private List<GatewayEffect> arrive(String path, Optional<String> credential, OptionalInt key) {
         return gateway.arrived(
-                new ArrivedRequest(
-                        ++exchange, "id" + exchange, "host", path, credential, key, OptionalLong.of(2_000), exchange),
+                new ArrivedRequest(++exchange, "id" + exchange, "host", path, credential, key, OptionalLong.of(2_000)),
                 now);
     }
 
@@ -138,8 +137,7 @@
                                     "/read/x",
                                     Optional.empty(),
                                     OptionalInt.empty(),
-                                    OptionalLong.empty(),
-                                    1),
+                                    OptionalLong.empty()),
                             now)))
                     .isEqualTo(RefusalReason.NO_DESIRED_STATE);
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -1,10 +1,7 @@
 package org.dragonflymux.gateway;
 
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
 import com.google.common.primitives.Ints;
 import com.google.common.primitives.Longs;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -12,7 +9,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -105,17 +101,7 @@
                 query < 0 ? uri : uri.substring(0, query),
                 Optional.ofNullable(request.headers().get(names.credential())),
                 key == null ? OptionalInt.empty() : OptionalInt.of(key),
-                wait == null ? OptionalLong.empty() : OptionalLong.of(Math.max(0, wait - age)),
-                fingerprint(request));
-    }
-
-    private long fingerprint(FullHttpRequest request) {
-        Hasher hasher = Hashing.murmur3_128().newHasher();
-        hasher.putString(request.method().name(), StandardCharsets.UTF_8);
-        hasher.putString(request.uri(), StandardCharsets.UTF_8);
-        hasher.putString(request.headers().get(names.credential(), ""), StandardCharsets.UTF_8);
-        hasher.putBytes(ByteBufUtil.getBytes(request.content()));
-        return hasher.hash().asLong();
+                wait == null ? OptionalLong.empty() : OptionalLong.of(Math.max(0, wait - age)));
     }
 
     /**
