--- a/dragonflymux-standin/src/main/java/org/dragonflymux/standin/target/TargetServer.java
+++ b/dragonflymux-standin/src/main/java/org/dragonflymux/standin/target/TargetServer.java
@@ -16,7 +16,7 @@
 import org.dragonflymux.core.document.Fencing;
 import org.dragonflymux.core.message.GrantReply;
 import org.dragonflymux.core.message.TargetResult.DeclineReason;
-import org.dragonflymux.platform.http.TargetProtocol;
+import org.dragonflymux.runtime.http.TargetProtocol;
 import ratpack.exec.Downstream;
 import ratpack.exec.Promise;
 import ratpack.handling.Context;
