A call whose connection took long is sent only after what cancels it was heard

Change: a call whose connection took over 40 ms is sent one pass of the loop later, unless it has been cancelled. No test fails first for this one: the delay is the event loop's own.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -23,6 +23,7 @@
 public final class ConnectionPool {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
+    private static final long SLOW_CONNECT_MILLIS = 40;
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -113,18 +114,34 @@
                 })
                 .connect(peer.address());
         Channel channel = connecting.channel();
+        long openedAt = nowMillis();
         call.on(channel);
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 call.fail(CallFailure.NOT_SENT);
-            } else if (call.ended()) {
-                channel.close();
+            } else if (nowMillis() - openedAt > SLOW_CONNECT_MILLIS) {
+                // On a busy host much may have happened meanwhile: what cancels the call comes first.
+                loop.schedule(() -> sendUnlessEnded(connection, channel, call), 1, TimeUnit.MILLISECONDS);
             } else {
-                connection.send(call);
+                sendUnlessEnded(connection, channel, call);
             }
         });
     }
 
+    private static void sendUnlessEnded(Connection connection, Channel channel, Call call) {
+        if (call.ended()) {
+            channel.close();
+        } else if (channel.isActive()) {
+            connection.send(call);
+        } else {
+            call.fail(CallFailure.NOT_SENT);
+        }
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
     void release(Connection connection) {
         idle.computeIfAbsent(connection.peer(), _ -> new ArrayDeque<>()).addLast(connection);
     }
