--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -84,10 +84,6 @@
         return desired;
     }
 
-    public int openExchanges() {
-        return exchanges.size();
-    }
-
     /** Returns for how long the view of the store hasn't been confirmed. */
     public long staleMillis(long now) {
         return now - confirmedAt;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
@@ -38,14 +38,10 @@
         return peer;
     }
 
-    private static long nowMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
-
     boolean usable(double maxIdleShare) {
         return !closing
                 && context.channel().isActive()
-                && nowMillis() - idleSince < (idleMillis - IDLE_MARGIN_MILLIS) * maxIdleShare;
+                && ConnectionPool.nowMillis() - idleSince < (idleMillis - IDLE_MARGIN_MILLIS) * maxIdleShare;
     }
 
     void close() {
@@ -101,7 +97,7 @@
         // The rest of a request whose answer came early is still on its way.
         writing.addListener(done -> {
             if (done.isSuccess() && !closing) {
-                idleSince = nowMillis();
+                idleSince = ConnectionPool.nowMillis();
                 pool.release(this);
             } else {
                 close();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -36,7 +36,6 @@
     private final EventLoop loop;
     private final int maxAnswerBytes;
     private final Map<Peer, Deque<Connection>> idle = new HashMap<>();
-    private long opened;
 
     /**
      * The other side of connections.
@@ -56,11 +55,6 @@
         return new ConnectionPool(loop, maxAnswerBytes);
     }
 
-    /** Returns how many connections were opened so far. */
-    public long opened() {
-        return opened;
-    }
-
     /**
      * Makes a call.
      *
@@ -96,7 +90,6 @@
     }
 
     private void open(Peer peer, Call call) {
-        opened++;
         Connection connection = new Connection(this, peer);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
@@ -138,7 +131,7 @@
         }
     }
 
-    private static long nowMillis() {
+    static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
