A request whose caller left right after it is not served; the loop's news has an age

Cause: the end of a caller's connection closes the channel at once but is told to handlers by a task of its own, behind the task that decides about the request read just before.

Change: a decision looks whether the channel is still open; calls and decisions wait while the loop's last poll is over 200 ms ago; four connections are accepted at a time; a draining server answers all that it has read before it closes.

Customers' rates: the bucket holds the whole burst and begins empty when its customer becomes known; between two reports a host spends its usual part of what is left. Before, half of a burst was held back.

Logs: a refusal names its customer, a late answer how long it waited and worked.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetQuota.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetQuota.java
@@ -1,5 +1,6 @@
 package org.dragonflymux.core.gateway;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import org.dragonflymux.core.desired.CustomerSpec;
@@ -9,37 +10,39 @@
 /**
  * Customers' rates over the whole fleet: each host keeps the whole bucket and takes out of it what the other hosts say
  * they have admitted. Of hosts that say nothing it is assumed that they go on as before.
+ *
+ * <p>Between two reports a host takes its usual part of what is left only, so that hosts that haven't heard of each other
+ * don't spend the same tokens.
  */
 final class FleetQuota {
 
     private static final double MILLIS_PER_SECOND = 1000;
     private static final double DEBT_SECONDS = 5;
-    /** Which share of the burst is there at once; the rest flows in during a window. */
-    private static final double READY_BURST = 0.5;
+    /** Makes up for tokens that are lost where hosts learn late what others gave back. */
+    private static final double REFILL = 1.03;
 
     private static final long FIRST_REPORTS_MILLIS = 400;
     /** How much the latest report weighs in a host's usual rate. */
     private static final double SMOOTHING = 0.1;
-
-    private final long windowMillis;
+    /** For how long a host spends the part that it set aside; others' reports take that long to arrive. */
+    private static final long PART_MILLIS = 100;
+    /** A host's part is larger than its usual one by this factor, so that it may grow. */
+    private static final double PART_GROWTH = 1.5;
+    /** Requests that a host may admit between two reports however small its usual part is. */
+    private static final double LEAST_PART = 2;
 
     private final Map<CustomerName, Bucket> buckets = new HashMap<>();
     private final Map<CustomerName, Long> admitted = new HashMap<>();
     private final Map<HostId, PeerUse> peers = new HashMap<>();
 
-    /**
-     * Returns the buckets of a host that has admitted nothing.
-     *
-     * @param windowMillis in any window of this length a customer may have its rate and its burst
-     */
-    FleetQuota(long windowMillis) {
-        this.windowMillis = windowMillis;
-    }
-
     private static final class Bucket {
         private double tokens;
         private long filledAt;
         private long createdAt;
+        private double part;
+        private long partAt = Long.MIN_VALUE / 2;
+        private long admittedAtPart;
+        private double ownPerMilli;
     }
 
     private static final class PeerUse {
@@ -50,25 +53,53 @@
         private final Map<CustomerName, Double> assumed = new HashMap<>();
     }
 
+    /** Takes in who is limited; a bucket begins to fill when its customer becomes known. */
+    void customers(Collection<CustomerSpec> specs, int hosts, long now) {
+        specs.stream().filter(CustomerSpec::limited).forEach(spec -> filled(spec, hosts, now));
+    }
+
     /** Takes a token out, or returns after how many milliseconds one is expected. */
     long take(CustomerSpec customer, int hosts, long now) {
         if (!customer.limited()) {
             return 0;
         }
         Bucket bucket = filled(customer, hosts, now);
+        if (now - bucket.partAt >= PART_MILLIS) {
+            setPartAside(customer.name(), bucket, hosts, now);
+        }
         if (bucket.tokens < 1) {
             return Math.max(1, (long) Math.ceil((1 - bucket.tokens) / perMilli(customer)));
         }
+        if (bucket.part < 1) {
+            return Math.max(1, bucket.partAt + PART_MILLIS - now);
+        }
         bucket.tokens--;
+        bucket.part--;
         admitted.merge(customer.name(), 1L, Long::sum);
         return 0;
     }
 
+    private void setPartAside(CustomerName customer, Bucket bucket, int hosts, long now) {
+        long soFar = admitted.getOrDefault(customer, 0L);
+        double latest = (double) (soFar - bucket.admittedAtPart) / Math.max(1, now - bucket.partAt);
+        bucket.ownPerMilli += SMOOTHING * (latest - bucket.ownPerMilli);
+        double all = bucket.ownPerMilli;
+        for (PeerUse peer : peers.values()) {
+            all += peer.perMilli.getOrDefault(customer, 0.0);
+        }
+        double usual = all <= 0 ? 0 : bucket.ownPerMilli / all;
+        double share = Math.min(1, PART_GROWTH * Math.max(usual, 1.0 / Math.max(1, hosts)));
+        bucket.part = Math.max(bucket.tokens * share, Math.min(bucket.tokens, LEAST_PART));
+        bucket.partAt = now;
+        bucket.admittedAtPart = soFar;
+    }
+
     /** Gives back the token of a request that has not run. */
     void giveBack(CustomerName customer) {
         Bucket bucket = buckets.get(customer);
         if (bucket != null) {
             bucket.tokens++;
+            bucket.part++;
             admitted.merge(customer, -1L, Long::sum);
         }
     }
@@ -80,8 +111,8 @@
     private Bucket filled(CustomerSpec customer, int hosts, long now) {
         Bucket bucket = buckets.get(customer.name());
         if (bucket == null) {
+            // Empty at first: what the fleet admitted before this host started isn't known.
             bucket = new Bucket();
-            bucket.tokens = customer.burst() * READY_BURST / Math.max(1, hosts);
             bucket.filledAt = now;
             bucket.createdAt = now;
             buckets.put(customer.name(), bucket);
@@ -89,14 +120,14 @@
         // Until the others have been heard, a host takes its own part only.
         int sharers = now < bucket.createdAt + FIRST_REPORTS_MILLIS ? Math.max(1, hosts) : 1;
         double flow = (now - bucket.filledAt) * perMilli(customer) / sharers;
-        bucket.tokens = Math.min(Math.max(customer.burst() * READY_BURST, 1), bucket.tokens + flow);
+        bucket.tokens = Math.min(Math.max(customer.burst(), 1), bucket.tokens + flow);
         bucket.tokens = Math.max(-DEBT_SECONDS * customer.ratePerSecond(), bucket.tokens);
         bucket.filledAt = now;
         return bucket;
     }
 
-    private double perMilli(CustomerSpec customer) {
-        return customer.ratePerSecond() / MILLIS_PER_SECOND + customer.burst() * (1 - READY_BURST) / windowMillis;
+    private static double perMilli(CustomerSpec customer) {
+        return customer.ratePerSecond() * REFILL / MILLIS_PER_SECOND;
     }
 
     /** Takes in what another host has admitted. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
@@ -14,6 +14,8 @@
 final class FleetView {
 
     private static final long SILENT_MILLIS = 1_000;
+    /** After this time without a report a host is assumed to admit as before; what it says later corrects that. */
+    private static final long ASSUMED_AFTER_MILLIS = 350;
 
     private final HostId self;
     private final TargetDirectory directory;
@@ -96,14 +98,14 @@
     void tick(long now) {
         heard.entrySet().removeIf(entry -> {
             Heard peer = entry.getValue();
-            if (now - peer.at < SILENT_MILLIS) {
+            if (now - peer.at < ASSUMED_AFTER_MILLIS) {
                 return false;
             }
-            if (!peer.silent) {
+            if (now - peer.at >= SILENT_MILLIS && !peer.silent) {
                 peer.silent = true;
                 directory.forgetPeer(entry.getKey());
             }
-            if (!registered.contains(entry.getKey())) {
+            if (peer.silent && !registered.contains(entry.getKey())) {
                 quota.forget(entry.getKey());
                 return true;
             }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -65,7 +65,7 @@
     private Gateway(GatewaySettings settings, RandomGenerator random) {
         this.settings = settings;
         this.random = random;
-        this.quota = new FleetQuota(settings.quotaWindowMillis());
+        this.quota = new FleetQuota();
         this.fleet = new FleetView(settings.host(), directory, quota);
         this.pacer = ColdPacer.of(fleet::hosts);
         this.choice = TargetChoice.of(directory, pacer, settings.domain(), random);
@@ -115,12 +115,13 @@
     }
 
     /** Takes in a desired state; an older one than the present is ignored. */
-    public void desiredState(DesiredState newer) {
+    public void desiredState(DesiredState newer, long now) {
         if (desired.isPresent() && desired.get().version() >= newer.version()) {
             return;
         }
         desired = Optional.of(newer);
         pacer.services(newer.services());
+        quota.customers(newer.customersByCredential().values(), fleet.hosts(), now);
     }
 
     /** Takes in who owns a service's keys. */
@@ -246,13 +247,13 @@
         retries(service.name(), now).requestArrived();
         double wait = expectedWait(exchange, now);
         if (wait > longestWait(exchange, now)) {
-            refuse(request, RefusalReason.OVERLOADED, comeBackAfter(exchange, wait));
+            refuse(request, customer, RefusalReason.OVERLOADED, comeBackAfter(exchange, wait));
             return;
         }
         if (customer.isPresent()) {
             long untilToken = quota.take(customer.get(), fleet.hosts(), now);
             if (untilToken > 0) {
-                refuse(request, RefusalReason.OVER_RATE, spread(untilToken));
+                refuse(request, customer, RefusalReason.OVER_RATE, spread(untilToken));
                 return;
             }
         }
@@ -486,9 +487,9 @@
         switch (grade) {
             case SUCCESS -> {
                 attempt.target().succeeded(now - attempt.sentAt(), attempt.busyAtSend());
-                deliver(exchange, attempt);
+                deliver(attempt, now);
             }
-            case REPLY -> deliver(exchange, attempt);
+            case REPLY -> deliver(attempt, now);
             case TARGET_ERROR -> {
                 attempt.target().failed(false, now);
                 exchange.mayHaveRun = true;
@@ -500,17 +501,25 @@
                 if (again) {
                     enqueue(exchange);
                 } else if (exchange.running.isEmpty()) {
-                    deliver(exchange, attempt);
+                    deliver(attempt, now);
                 }
             }
         }
     }
 
-    private void deliver(Exchange exchange, Attempt attempt) {
+    private void deliver(Attempt attempt, long now) {
+        Exchange exchange = attempt.exchange();
         if (exchange.done) {
             return;
         }
-        effects.add(new GatewayEffect.Deliver(exchange.request.exchange(), attempt.number()));
+        GatewayEffect.Course course = new GatewayEffect.Course(
+                attempt.target().entry().id(),
+                attempt.sentAt() - exchange.arrivedAt,
+                now - attempt.sentAt(),
+                attempt.busyAtSend(),
+                exchange.attempts,
+                now - exchange.arrivedAt > exchange.route.objectiveMillis());
+        effects.add(new GatewayEffect.Deliver(exchange.request.exchange(), attempt.number(), course));
         close(exchange);
     }
 
@@ -530,7 +539,8 @@
         if (exchange.done) {
             return;
         }
-        effects.add(new GatewayEffect.Refuse(exchange.request.exchange(), reason, retryAfter));
+        effects.add(new GatewayEffect.Refuse(
+                exchange.request.exchange(), reason, retryAfter, exchange.customer.map(CustomerSpec::name)));
         if (!exchange.mayHaveRun && exchange.running.isEmpty()) {
             exchange.customer.filter(CustomerSpec::limited).ifPresent(customer -> quota.giveBack(customer.name()));
         }
@@ -551,7 +561,13 @@
     }
 
     private void refuse(ArrivedRequest request, RefusalReason reason, long retryAfterMillis) {
-        effects.add(new GatewayEffect.Refuse(request.exchange(), reason, retryAfterMillis));
+        refuse(request, Optional.empty(), reason, retryAfterMillis);
+    }
+
+    private void refuse(
+            ArrivedRequest request, Optional<CustomerSpec> customer, RefusalReason reason, long retryAfterMillis) {
+        effects.add(new GatewayEffect.Refuse(
+                request.exchange(), reason, retryAfterMillis, customer.map(CustomerSpec::name)));
     }
 
     /** Takes in that a caller has gone away. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewayEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewayEffect.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.TargetId;
 
 /** What the gateway wants done. */
 public sealed interface GatewayEffect {
@@ -38,8 +39,21 @@
      *
      * @param exchange the request
      * @param attempt the attempt
+     * @param course how it came to the answer
      */
-    record Deliver(long exchange, long attempt) implements GatewayEffect {}
+    record Deliver(long exchange, long attempt, Course course) implements GatewayEffect {}
+
+    /**
+     * What explains how long a request took.
+     *
+     * @param target who answered
+     * @param waitedMillis the time until it was sent there
+     * @param workedMillis the time until the answer came
+     * @param busyAtSend how many requests were at the target when it was sent, as far as known
+     * @param attempts how many targets had the request
+     * @param late whether that was longer than its objective
+     */
+    record Course(TargetId target, long waitedMillis, long workedMillis, int busyAtSend, int attempts, boolean late) {}
 
     /**
      * Answer a request without a target's answer.
@@ -47,6 +61,8 @@
      * @param exchange the request
      * @param reason why
      * @param retryAfterMillis when to come back, 0 where that makes no difference
+     * @param customer whose request it is, as far as known
      */
-    record Refuse(long exchange, RefusalReason reason, long retryAfterMillis) implements GatewayEffect {}
+    record Refuse(long exchange, RefusalReason reason, long retryAfterMillis, Optional<CustomerName> customer)
+            implements GatewayEffect {}
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewaySettings.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewaySettings.java
@@ -13,7 +13,6 @@
  * @param retryRatio which share of a service's requests may be sent once more
  * @param extraRetries how many more, by all hosts in one window
  * @param retryWindowMillis the window
- * @param quotaWindowMillis in any window of this length a customer may have its rate and its burst
  */
 public record GatewaySettings(
         HostId host,
@@ -22,8 +21,7 @@
         long withdrawalMillis,
         double retryRatio,
         double extraRetries,
-        long retryWindowMillis,
-        long quotaWindowMillis) {
+        long retryWindowMillis) {
 
     private static final double SAFE_SHARE = 0.76;
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.net.InetSocketAddress;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Function;
@@ -36,6 +38,7 @@
 import org.dragonflymux.gateway.control.FleetRecords;
 import org.dragonflymux.gateway.control.GrantClient;
 import org.dragonflymux.gateway.http.ConnectionPool;
+import org.dragonflymux.gateway.http.PollAge;
 import org.dragonflymux.gateway.peer.PeerSocket;
 import org.dragonflymux.gateway.store.RecordDecoder;
 import org.dragonflymux.gateway.store.StoreClient;
@@ -79,6 +82,7 @@
     private GatewayProcess(
             GatewayOptions options,
             EventLoop loop,
+            PollAge news,
             WireNames names,
             RecordDecoder decoder,
             Function<EventLoop, StoreClient> stores,
@@ -90,9 +94,9 @@
         var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         this.gateway = Gateway.of(options.gateway(), random::nextLong);
         this.feed = FeedChoice.of(options.self());
-        this.pool = ConnectionPool.on(loop, MAX_ANSWER_BYTES);
+        this.pool = ConnectionPool.on(loop, MAX_ANSWER_BYTES, news);
         this.requests = new RequestPath(gateway, pool, names, clock);
-        this.callers = CallerServer.on(loop, requests, this::limits, this::requestTime);
+        this.callers = CallerServer.on(loop, requests, this::limits, this::requestTime, news);
         this.control = ControlLoop.of(
                 store,
                 grants.apply(pool, names),
@@ -117,8 +121,9 @@
             RecordDecoder decoder,
             Function<EventLoop, StoreClient> stores,
             BiFunction<ConnectionPool, WireNames, GrantClient> grants) {
-        EventLoop loop = new NioEventLoopGroup(1).next();
-        GatewayProcess process = new GatewayProcess(options, loop, names, decoder, stores, grants);
+        PollAge news = PollAge.by(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+        EventLoop loop = new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), news).next();
+        GatewayProcess process = new GatewayProcess(options, loop, news, names, decoder, stores, grants);
         process.listen();
         return process;
     }
@@ -254,7 +259,7 @@
         private void desired(DesiredState state) {
             if (gateway.desired().map(DesiredState::version).orElse(-1L) < state.version()) {
                 LOG.info("event=desired_state version={}", state.version());
-                gateway.desiredState(state);
+                gateway.desiredState(state, requestTime());
                 control.desired(state);
             }
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -22,6 +22,7 @@
 import org.dragonflymux.core.gateway.Gateway;
 import org.dragonflymux.core.gateway.GatewayEffect;
 import org.dragonflymux.core.gateway.RefusalReason;
+import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.gateway.caller.CallerHandler;
 import org.dragonflymux.gateway.caller.CallerReply;
 import org.dragonflymux.gateway.http.Call;
@@ -200,9 +201,21 @@
 
     private void deliver(GatewayEffect.Deliver deliver) {
         Waiting exchange = waiting.remove(deliver.exchange());
-        if (exchange != null) {
-            exchange.reply().answer(messages.answer(presentAnswer));
+        if (exchange == null) {
+            return;
+        }
+        GatewayEffect.Course course = deliver.course();
+        if (course.late()) {
+            log.info(
+                    "event=answer_late id={} target={} waitedMillis={} workedMillis={} busyAtSend={} attempts={}",
+                    exchange.requestId(),
+                    course.target(),
+                    course.waitedMillis(),
+                    course.workedMillis(),
+                    course.busyAtSend(),
+                    course.attempts());
         }
+        exchange.reply().answer(messages.answer(presentAnswer));
     }
 
     private void refuse(GatewayEffect.Refuse refuse) {
@@ -211,9 +224,10 @@
             return;
         }
         log.info(
-                "event=request_refused id={} reason={} retryAfterMillis={} millis={}",
+                "event=request_refused id={} reason={} customer={} retryAfterMillis={} millis={}",
                 exchange.requestId(),
                 refuse.reason(),
+                refuse.customer().map(CustomerName::value).orElse("none"),
                 refuse.retryAfterMillis(),
                 clock.monotonicMillis() - exchange.since());
         FullHttpResponse answer = new DefaultFullHttpResponse(
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -14,14 +15,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 
 /** One caller's connection. Requests are decided about as they come and answered in their order. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
     private static final int MAX_PIPELINED = 64;
-    private static final long FRESH_MILLIS = 60;
-    private static final int MAX_PUT_OFF = 4;
 
     private final CallerServer server;
     private final Deque<CallerReply> replies = new ArrayDeque<>();
@@ -51,7 +49,8 @@
             return;
         }
         used();
-        if (closing) {
+        // On a draining server the last answer that is due closes the connection: what comes behind it isn't taken.
+        if (closing || server.draining() && !replies.isEmpty()) {
             request.release();
             return;
         }
@@ -66,25 +65,15 @@
         if (replies.size() >= MAX_PIPELINED) {
             ctx.channel().config().setAutoRead(false);
         }
-        // Decided about after all that has arrived was read, so that a caller that has left already is seen to have
-        // left.
-        long readAt = server.now();
-        ctx.channel().eventLoop().execute(() -> decide(request, reply, readAt, 0));
+        // Decided about after all that has arrived was read, so that a caller that left by then is seen to have left.
+        EventLoop loop = ctx.channel().eventLoop();
+        loop.execute(() -> server.news()
+                .whenFresh(loop, () -> left(reply), () -> server.handler().requested(request, reply)));
     }
 
-    /** Has a request decided about; on a busy host that is put off until the connection has been looked at once more. */
-    private void decide(FullHttpRequest request, CallerReply reply, long lookedAt, int putOff) {
-        if (reply.ended()) {
-            return;
-        }
-        long now = server.now();
-        if (now - lookedAt > FRESH_MILLIS && putOff < MAX_PUT_OFF) {
-            context.channel()
-                    .eventLoop()
-                    .schedule(() -> decide(request, reply, now, putOff + 1), 1, TimeUnit.MILLISECONDS);
-            return;
-        }
-        server.handler().requested(request, reply);
+    /** Returns whether a request's caller has left; a channel is closed a while before it says that it is. */
+    private boolean left(CallerReply reply) {
+        return reply.ended() || !context.channel().isActive();
     }
 
     private static FullHttpResponse badRequest() {
@@ -113,8 +102,9 @@
 
     private void write(CallerReply reply) {
         FullHttpResponse answer = reply.takeAnswer();
+        // Requests that were read already are answered before a draining server closes the connection.
         boolean close = !reply.keepAlive()
-                || server.draining()
+                || server.draining() && replies.isEmpty()
                 || answer.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
         writing++;
         if (!close) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -19,12 +19,16 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.desired.RequestLimits;
+import org.dragonflymux.gateway.http.PollAge;
 
 /** Accepts callers' connections. */
 public final class CallerServer {
 
     private static final Logger LOG = LogManager.getLogger(CallerServer.class);
     private static final int BACKLOG = 512;
+    /** How many connections are accepted before those that are open are looked at again. */
+    private static final int MAX_ACCEPTED_AT_ONCE = 4;
+
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
@@ -32,15 +36,18 @@
     private final CallerHandler handler;
     private final Supplier<RequestLimits> limits;
     private final LongSupplier clock;
+    private final PollAge news;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listener;
     private boolean draining;
 
-    private CallerServer(EventLoop loop, CallerHandler handler, Supplier<RequestLimits> limits, LongSupplier clock) {
+    private CallerServer(
+            EventLoop loop, CallerHandler handler, Supplier<RequestLimits> limits, LongSupplier clock, PollAge news) {
         this.loop = loop;
         this.handler = handler;
         this.limits = limits;
         this.clock = clock;
+        this.news = news;
     }
 
     /**
@@ -48,10 +55,11 @@
      *
      * @param limits tells what callers may send
      * @param clock tells the time, in milliseconds of the monotonic clock
+     * @param news tells whether callers that left are known by now; until then nothing is decided
      */
     public static CallerServer on(
-            EventLoop loop, CallerHandler handler, Supplier<RequestLimits> limits, LongSupplier clock) {
-        return new CallerServer(loop, handler, limits, clock);
+            EventLoop loop, CallerHandler handler, Supplier<RequestLimits> limits, LongSupplier clock, PollAge news) {
+        return new CallerServer(loop, handler, limits, clock, news);
     }
 
     /** Begins to accept connections. */
@@ -61,6 +69,9 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTED_AT_ONCE))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Reads go on until nothing is left, the caller's end of the connection included.
                 .childOption(
@@ -95,6 +106,10 @@
         return clock.getAsLong();
     }
 
+    PollAge news() {
+        return news;
+    }
+
     CallerHandler handler() {
         return handler;
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -23,7 +23,6 @@
 public final class ConnectionPool {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
-    private static final long SLOW_CONNECT_MILLIS = 40;
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -35,6 +34,7 @@
 
     private final EventLoop loop;
     private final int maxAnswerBytes;
+    private final PollAge news;
     private final Map<Peer, Deque<Connection>> idle = new HashMap<>();
 
     /**
@@ -45,14 +45,19 @@
      */
     public record Peer(String name, InetSocketAddress address) {}
 
-    private ConnectionPool(EventLoop loop, int maxAnswerBytes) {
+    private ConnectionPool(EventLoop loop, int maxAnswerBytes, PollAge news) {
         this.loop = loop;
         this.maxAnswerBytes = maxAnswerBytes;
+        this.news = news;
     }
 
-    /** Returns a pool without connections whose calls are made on the given loop. */
-    public static ConnectionPool on(EventLoop loop, int maxAnswerBytes) {
-        return new ConnectionPool(loop, maxAnswerBytes);
+    /**
+     * Returns a pool without connections whose calls are made on the given loop.
+     *
+     * @param news tells whether what cancels calls is known by now; until then none is sent
+     */
+    public static ConnectionPool on(EventLoop loop, int maxAnswerBytes, PollAge news) {
+        return new ConnectionPool(loop, maxAnswerBytes, news);
     }
 
     /**
@@ -67,13 +72,17 @@
         if (timeoutMillis > 0) {
             call.timeout(loop.schedule(() -> call.fail(CallFailure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS));
         }
+        news.whenFresh(loop, call::ended, () -> begin(peer, maxIdleShare, call));
+        return call;
+    }
+
+    private void begin(Peer peer, double maxIdleShare, Call call) {
         Connection connection = take(peer, maxIdleShare);
         if (connection == null) {
             open(peer, call);
         } else {
             connection.send(call);
         }
-        return call;
     }
 
     private Connection take(Peer peer, double maxIdleShare) {
@@ -107,24 +116,19 @@
                 })
                 .connect(peer.address());
         Channel channel = connecting.channel();
-        long openedAt = nowMillis();
         call.on(channel);
         connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                call.fail(CallFailure.NOT_SENT);
-            } else if (nowMillis() - openedAt > SLOW_CONNECT_MILLIS) {
-                // On a busy host much may have happened meanwhile: what cancels the call comes first.
-                loop.schedule(() -> sendUnlessEnded(connection, channel, call), 1, TimeUnit.MILLISECONDS);
+            if (done.isSuccess()) {
+                // A call that ends meanwhile closes the channel.
+                news.whenFresh(loop, call::ended, () -> send(connection, channel, call));
             } else {
-                sendUnlessEnded(connection, channel, call);
+                call.fail(CallFailure.NOT_SENT);
             }
         });
     }
 
-    private static void sendUnlessEnded(Connection connection, Channel channel, Call call) {
-        if (call.ended()) {
-            channel.close();
-        } else if (channel.isActive()) {
+    private static void send(Connection connection, Channel channel, Call call) {
+        if (channel.isActive()) {
             connection.send(call);
         } else {
             call.fail(CallFailure.NOT_SENT);
