Requests are decided about after one more poll; the table of keys stays small; owners' queues are judged by usual speed

Now the loop polls once more before each decision, and a call asks its listener whether anybody still waits before it is sent.

The planner now counts what an assignment costs, takes quiet keys at an end along, gives small ranges back also under load, and goes on between reachable targets while moves away from lost ones wait. A target owes three answers at most.

Choice of owners and refusals: plans go by the unslowed speed of targets, smoothed over more requests, prefer fast targets while there is room, and move nothing for a difference that a sample may show by chance; the wait at an owner counts what a neighbour slows for a moment only; a request may be expected to wait for 0.75 of its objective instead of 0.45. Changes of the store are fetched 40 ms apart.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -98,6 +98,15 @@
         return count == 0 ? FIRST_GUESS_MILLIS : sum / count;
     }
 
+    /** Returns the mean time that the service's measured targets usually work on a request. */
+    public double usualMillis(ServiceName service) {
+        return of(service).stream()
+                .filter(TargetState::measured)
+                .mapToDouble(target -> target.usualMillis(0))
+                .average()
+                .orElse(FIRST_GUESS_MILLIS);
+    }
+
     /** Forgets what another host has at targets. */
     public void forgetPeer(HostId peer) {
         for (TargetState target : targets.values()) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -8,8 +8,13 @@
 public final class TargetState {
 
     private static final double SMOOTHING = 0.15;
+    /** Plans last longer than single choices, so that one heavy request must not sway them. */
+    private static final double STEADY_SMOOTHING = 0.06;
+
+    private static final double SLOWDOWN_SMOOTHING = 0.03;
     private static final double FAILURE_SMOOTHING = 0.2;
     private static final long SLOWDOWN_VALID_MILLIS = 400;
+    private static final double SLOWDOWN_LASTS_MILLIS = 150;
     private static final long FIRST_HOLD_DOWN_MILLIS = 400;
     private static final long MAX_HOLD_DOWN_MILLIS = 3_000;
     private static final int MAX_HOLD_DOWN_DOUBLINGS = 3;
@@ -19,6 +24,8 @@
     private final Map<HostId, PeerUse> peers = new HashMap<>();
     private PeerUse peersTotal = PeerUse.NONE;
     private double serviceMillis = -1;
+    private double unslowedMillis = -1;
+    private double usualSlowdown = 1;
     private double failureRatio;
     private int failuresInARow;
     private long heldDownUntil = Long.MIN_VALUE;
@@ -122,10 +129,11 @@
      *
      * @param millis from sending to the whole answer
      * @param busyAtSend how many requests were at the target when it was sent
+     * @param now when the answer came
      */
-    public void succeeded(double millis, int busyAtSend) {
+    public void succeeded(double millis, int busyAtSend, long now) {
         double alone = millis * Math.min(1.0, (double) entry.slots() / Math.max(1, busyAtSend));
-        learn(alone, 1);
+        learn(alone, 1, now);
         doneSinceReport++;
         doneMillisSinceReport += alone;
         failuresInARow = 0;
@@ -133,9 +141,14 @@
     }
 
     /** Takes in what another host saw of good answers. */
-    public void learn(double millis, int count) {
-        double keep = Math.pow(1 - SMOOTHING, count);
-        serviceMillis = serviceMillis < 0 ? millis : serviceMillis * keep + millis * (1 - keep);
+    public void learn(double millis, int count, long now) {
+        serviceMillis = smoothed(serviceMillis, millis, SMOOTHING, count);
+        unslowedMillis = smoothed(unslowedMillis, millis / slowdown(now), STEADY_SMOOTHING, count);
+    }
+
+    private static double smoothed(double before, double latest, double weight, int count) {
+        double keep = Math.pow(1 - weight, count);
+        return before < 0 ? latest : before * keep + latest * (1 - keep);
     }
 
     /** Takes in a failure that speaks against the target; it is left alone for a while after several. */
@@ -161,6 +174,7 @@
         if (at >= slowdownAt) {
             slowdownPercent = percent;
             slowdownAt = at;
+            usualSlowdown += SLOWDOWN_SMOOTHING * (percent / 100.0 - usualSlowdown);
         }
     }
 
@@ -183,6 +197,25 @@
         return serviceMillis < 0 ? guess : serviceMillis;
     }
 
+    /**
+     * Returns how long the target, with all its slots, takes to end a number of requests. What slows it now lasts a
+     * moment; after that it works as usual.
+     */
+    public double millisFor(double requests, double guess, long now) {
+        double each = (unslowedMillis < 0 ? guess : unslowedMillis) / entry.slots();
+        double soon = requests * each * slowdown(now);
+        if (soon <= SLOWDOWN_LASTS_MILLIS) {
+            return soon;
+        }
+        double later = requests - SLOWDOWN_LASTS_MILLIS / (each * slowdown(now));
+        return SLOWDOWN_LASTS_MILLIS + later * each * usualSlowdown;
+    }
+
+    /** Returns how long the target usually works on a request, the usual slowdown included, or a guess. */
+    public double usualMillis(double guess) {
+        return unslowedMillis < 0 ? guess : unslowedMillis * usualSlowdown;
+    }
+
     public boolean measured() {
         return serviceMillis >= 0;
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -37,7 +37,7 @@
     private static final int QUEUED_AT_OWNER = 2;
     private static final int MAX_UNSENT = 4;
     /** Which share of the objective a request may be expected to wait for its turn; the rest is for the work. */
-    private static final double WAIT_SHARE = 0.45;
+    private static final double WAIT_SHARE = 0.75;
     /** Which share of the objective a request may wait for a target that can't be reached. */
     private static final double HOPELESS_SHARE = 0.8;
 
@@ -317,7 +317,6 @@
 
     private double expectedWaitAtOwner(Exchange exchange, TargetState target, long now) {
         double guess = directory.meanServiceMillis(exchange.service.name());
-        double perMilli = target.entry().slots() / (target.serviceMillis(guess) * target.slowdown(now));
         long ahead = waitingFor(exchange.service.name()).stream()
                 .filter(other -> other.priority <= exchange.priority)
                 .filter(other -> owner(other)
@@ -329,7 +328,7 @@
                 + target.busy()
                 + 1
                 - target.entry().slots();
-        return full <= 0 ? 0 : full / perMilli;
+        return full <= 0 ? 0 : target.millisFor(full, guess, now);
     }
 
     private long ahead(Exchange exchange) {
@@ -486,7 +485,7 @@
         Exchange exchange = attempt.exchange();
         switch (grade) {
             case SUCCESS -> {
-                attempt.target().succeeded(now - attempt.sentAt(), attempt.busyAtSend());
+                attempt.target().succeeded(now - attempt.sentAt(), attempt.busyAtSend(), now);
                 deliver(attempt, now);
             }
             case REPLY -> deliver(attempt, now);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantDuty.java
@@ -28,6 +28,8 @@
     private static final long SETTLE_MILLIS = 1_500;
     private static final long SILENT_MILLIS = 900;
     private static final long RETRY_MILLIS = 150;
+    /** Renewals wait while a target owes as many answers: a host that has just started can't carry out all at once. */
+    private static final int MAX_CALLS_AT_TARGET = 3;
     /** Other hosts learn of a move a little later than the grantor, and stop sending to the old owner then. */
     private static final long SPREAD_MILLIS = 20;
 
@@ -168,6 +170,7 @@
     private void renew(Assignment assignment, long now, List<GrantEffect> effects) {
         TargetGrants target = grantsOf(assignment.owner());
         if (renewAt.getOrDefault(assignment, Long.MIN_VALUE) > now
+                || target.outstanding() >= MAX_CALLS_AT_TARGET
                 || !target.mayTry(now)
                 || reborn(assignment.owner(), assignment.incarnation())
                 || target.silentFor(now) > SILENT_MILLIS && now < target.holdsUntil()) {
@@ -395,7 +398,7 @@
     }
 
     private List<PlanTarget> planTargets(long now) {
-        double mean = directory.meanServiceMillis(service);
+        double mean = directory.usualMillis(service);
         List<PlanTarget> result = new ArrayList<>();
         for (TargetState target : directory.of(service)) {
             TargetGrants known = grants.get(target.entry().id());
@@ -410,7 +413,7 @@
     }
 
     private double bearable(TargetState target, double mean, long now) {
-        double millis = Math.clamp(target.serviceMillis(mean), mean * FASTEST_RATIO, mean * SLOWEST_RATIO);
+        double millis = Math.clamp(target.usualMillis(mean), mean * FASTEST_RATIO, mean * SLOWEST_RATIO);
         double perSecond = target.entry().slots() * MILLIS_PER_SECOND / millis;
         return target.cold(now) ? Math.min(perSecond, spec.coldPerSecond() * COLD_SHARE) : perSecond;
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.dragonflymux.core.name.TargetId;
 
@@ -16,18 +18,25 @@
 public final class ShardPlanner {
 
     private static final int MAX_BALANCING_MOVES = 4;
+    private static final int MAX_BALANCING_AT_ONCE = 24;
     private static final int MAX_MOVES_AT_ONCE = 64;
     private static final double CROWDED = 0.4;
     private static final double IMBALANCE = 1.35;
     private static final double MIN_GAIN = 0.12;
     private static final int MAX_JOINS = 16;
-    private static final int MAX_CONSOLIDATIONS = 6;
+    private static final int MAX_CONSOLIDATIONS = 8;
     /** A range of less than this part of a target's even share is small. */
     private static final int SMALL_PART = 2;
     /** More assignments than this for each target are joined where neighbours have the same owner. */
     private static final int ASSIGNMENTS_PER_TARGET = 2;
 
     private static final double PIECES_PER_TARGET = 3;
+    /** What any move costs, in keys. */
+    private static final double MOVE_KEYS = 8;
+    /** What an assignment more costs, in keys, where there is one for each target. */
+    private static final double ASSIGNMENT_KEYS = 30;
+    /** How much more than by their speed faster targets get while there is room: there each request takes less time. */
+    private static final double SPEED_PREFERENCE = 0.8;
 
     private ShardPlanner() {}
 
@@ -115,7 +124,11 @@
         private final Map<TargetId, Integer> keys = new HashMap<>();
         private final List<PlannedMove> moves = new ArrayList<>();
         private final Map<TargetId, List<Assignment>> settled = new HashMap<>();
+        private final double meanPerSecond;
+        private final double preference;
+        private final double roomy;
         private int moving;
+        private int balancing;
 
         Planning(ShardTable table, List<PlanTarget> targets, KeyLoad.Snapshot load) {
             this.table = table;
@@ -125,17 +138,26 @@
                 perSecond.put(target.id(), 0.0);
                 keys.put(target.id(), 0);
             }
+            this.meanPerSecond = targets.stream()
+                    .mapToDouble(PlanTarget::perSecond)
+                    .average()
+                    .orElse(1);
+            double all = load.perSecond(KeyRange.ALL);
+            double room = Math.max(0, 1 - all / Math.max(1, meanPerSecond * targets.size()));
+            this.preference = SPEED_PREFERENCE * room;
+            this.roomy = Math.max(CROWDED, 1 - room);
+        }
+
+        /** Returns the load that a target should carry at most, which favours fast targets while there is room. */
+        private double share(PlanTarget target) {
+            return target.perSecond() * Math.pow(target.perSecond() / meanPerSecond, preference);
         }
 
         List<PlannedMove> plan() {
             countLoads();
             evacuateUnusable();
-            if (moves.isEmpty()) {
-                balance();
-            }
-            if (moves.isEmpty()) {
-                consolidate();
-            }
+            balance();
+            consolidate();
             return moves;
         }
 
@@ -146,6 +168,7 @@
                 keys.merge(holder, assignment.range().size(), Integer::sum);
                 if (assignment.move().isPresent()) {
                     moving++;
+                    balancing += ownerUsable(assignment) ? 1 : 0;
                 } else {
                     settled.computeIfAbsent(assignment.owner(), _ -> new ArrayList<>())
                             .add(assignment);
@@ -193,8 +216,7 @@
                     .map(assignment -> assignment.move().map(Move::to).orElse(assignment.owner()))
                     .filter(id -> !id.equals(from.owner()))
                     .filter(id -> targets.containsKey(id) && targets.get(id).usable())
-                    .filter(id ->
-                            use(id) + load.perSecond(piece) / targets.get(id).perSecond() < CROWDED)
+                    .filter(id -> use(id) + load.perSecond(piece) / share(targets.get(id)) < roomy)
                     .min(Comparator.comparingDouble(this::use));
         }
 
@@ -203,9 +225,13 @@
             if (table.assignments().size() <= targets.size() * ASSIGNMENTS_PER_TARGET) {
                 return;
             }
+            Set<Assignment> planned = moves.stream()
+                    .flatMap(move -> table.owner(move.range().first()).stream())
+                    .collect(Collectors.toSet());
             table.assignments().stream()
                     .filter(assignment -> assignment.move().isEmpty())
                     .filter(assignment -> assignment.range().size() < smallSize())
+                    .filter(assignment -> !planned.contains(assignment))
                     .sorted(Comparator.comparingDouble((Assignment assignment) -> load.perSecond(assignment.range()))
                             .thenComparingInt(assignment -> assignment.range().size()))
                     .limit(MAX_CONSOLIDATIONS)
@@ -241,7 +267,7 @@
 
         private double use(TargetId id) {
             PlanTarget target = targets.get(id);
-            return target == null ? 0 : perSecond.get(id) / Math.max(0.1, target.perSecond());
+            return target == null ? 0 : perSecond.get(id) / Math.max(0.1, share(target));
         }
 
         private Optional<PlanTarget> leastUsed(TargetId except) {
@@ -266,7 +292,8 @@
             if (targets.values().stream().filter(PlanTarget::usable).count() < 2) {
                 return;
             }
-            for (int i = 0; i < MAX_BALANCING_MOVES && moving + moves.size() < MAX_MOVES_AT_ONCE; i++) {
+            // Moves away from lost targets may wait for a long time; those between others go on beside them.
+            for (int i = 0; i < MAX_BALANCING_MOVES && balancing + i < MAX_BALANCING_AT_ONCE; i++) {
                 if (!balanceOnce()) {
                     return;
                 }
@@ -288,13 +315,13 @@
             }
             double excess = perSecond.get(hottest)
                     - (perSecond.get(hottest) + perSecond.get(coolest.id()))
-                            * targets.get(hottest).perSecond()
-                            / (targets.get(hottest).perSecond() + coolest.perSecond());
-            Optional<KeyRange> range = narrowest(hottest, excess);
+                            * share(targets.get(hottest))
+                            / (share(targets.get(hottest)) + share(coolest));
+            Optional<KeyRange> range = cheapest(hottest, excess);
             if (range.isEmpty()) {
                 return false;
             }
-            double after = (perSecond.get(coolest.id()) + load.perSecond(range.get())) / coolest.perSecond();
+            double after = (perSecond.get(coolest.id()) + load.perSecond(range.get())) / share(coolest);
             if (use(hottest) - after < MIN_GAIN) {
                 settled.remove(hottest);
                 return true;
@@ -306,32 +333,50 @@
 
         private boolean worthwhile(TargetId hottest, TargetId coolest) {
             double most = use(hottest);
-            return most > CROWDED && most > IMBALANCE * use(coolest) && most - use(coolest) > MIN_GAIN
+            double gain = most - use(coolest);
+            return most > CROWDED
+                            && most > IMBALANCE * use(coolest)
+                            && gain > Math.max(MIN_GAIN, chance(hottest) + chance(coolest))
                     || keys.get(coolest) == 0 && most > 0;
         }
 
-        /** Returns the range with the fewest keys that carries at most the given load, but nearly that much. */
-        private Optional<KeyRange> narrowest(TargetId from, double wantedPerSecond) {
+        /** Returns by how much the use of a target may be off, since the load is a sample. */
+        private double chance(TargetId id) {
+            return Math.sqrt(perSecond.get(id) * load.perSecond()) / Math.max(0.1, share(targets.get(id))) / 2;
+        }
+
+        /** Returns the cheapest range that carries at most the given load, but nearly that much. */
+        private Optional<KeyRange> cheapest(TargetId from, double wantedPerSecond) {
             int wanted = (int) (wantedPerSecond / load.perSecond());
             KeyRange best = null;
+            double bestValue = 0;
             for (Assignment assignment : settled.get(from)) {
                 int begin = load.indexOf(assignment.range().first());
                 int end = load.indexOf(assignment.range().last() + 1);
                 int count = Math.min(wanted, end - begin);
                 for (int i = begin; count > 0 && i + count <= end; i++) {
-                    KeyRange candidate = new KeyRange(load.sortedKeys()[i], load.sortedKeys()[i + count - 1]);
-                    if (best == null || better(candidate, best)) {
-                        best = candidate;
+                    KeyRange busy = new KeyRange(load.sortedKeys()[i], load.sortedKeys()[i + count - 1]);
+                    // Quiet keys at an end of the assignment go along, so that it isn't cut twice.
+                    KeyRange wide = new KeyRange(
+                            i == begin ? assignment.range().first() : busy.first(),
+                            i + count == end ? assignment.range().last() : busy.last());
+                    for (KeyRange candidate : List.of(busy, wide)) {
+                        double value = load.perSecond(candidate) / cost(candidate, assignment.range());
+                        if (value > bestValue) {
+                            best = candidate;
+                            bestValue = value;
+                        }
                     }
                 }
             }
             return Optional.ofNullable(best);
         }
 
-        private boolean better(KeyRange candidate, KeyRange best) {
-            double loadOfCandidate = load.perSecond(candidate);
-            double loadOfBest = load.perSecond(best);
-            return loadOfCandidate / (candidate.size() + 8.0) > loadOfBest / (best.size() + 8.0);
+        /** Returns what moving a range costs, in keys: those that move, and the assignments that are added. */
+        private double cost(KeyRange part, KeyRange whole) {
+            int added = (part.first() > whole.first() ? 1 : 0) + (part.last() < whole.last() ? 1 : 0);
+            double perTarget = (double) table.assignments().size() / targets.size();
+            return part.size() + MOVE_KEYS + added * ASSIGNMENT_KEYS * perTarget * perTarget;
         }
     }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
@@ -54,6 +54,11 @@
         return outstanding > 0;
     }
 
+    /** Returns how many calls have no answer yet. */
+    int outstanding() {
+        return outstanding;
+    }
+
     boolean mayTry(long now) {
         return now >= retryAt;
     }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantDutyTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantDutyTest.java
@@ -96,6 +96,27 @@
             assertThat(of(GrantEffect.Grant.class, duty.tick(false, now))).hasSize(1);
         }
 
+        /** A host that had just started sent 671 grants at once and answered nothing else for two seconds. */
+        @Test
+        void of_many_assignments_comes_a_few_at_a_time_and_reaches_all_before_their_holds_end() {
+            ShardTable many = ShardTable.EMPTY;
+            for (int i = 0; i < 100; i++) {
+                many = many.with(new Assignment(
+                        new KeyRange(i * 10, i * 10 + 4), TargetId.of("a"), 1, i + 1L, Optional.empty()));
+            }
+            duty.stored(many, 2);
+            long latest = START + SETTINGS.hold();
+            int granted = 0;
+            for (; now < latest; now += 50) {
+                List<GrantEffect.Grant> grants = of(GrantEffect.Grant.class, tick());
+                assertThat(grants).hasSizeLessThanOrEqualTo(5);
+                grants.forEach(grant -> duty.ended(grant.call(), new GrantResult.Done(Optional.empty()), now));
+                granted += grants.size();
+            }
+
+            assertThat(granted).isGreaterThanOrEqualTo(100);
+        }
+
         @Test
         void ends_with_the_duty() {
             duty.stopLeading();
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/ShardPlannerTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/ShardPlannerTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.shard.ShardPlanner.PlannedMove;
@@ -110,6 +112,52 @@
             assertThat(ShardPlanner.plan(table, targets(4), load(60, 1_000, 1))).isEmpty();
         }
 
+        /** While a failure domain was cut off, no keys moved between the others for four seconds. */
+        @Test
+        void keys_move_between_others_while_those_of_lost_targets_wait() {
+            List<PlanTarget> present = new ArrayList<>(targets(8));
+            ShardTable table = ShardPlanner.initial(targets(8));
+            for (int i = 0; i < 64; i++) {
+                KeyRange range = new KeyRange(57_344 + i * 100, 57_344 + i * 100 + 49);
+                table = table.with(new Assignment(
+                        range,
+                        TargetId.of("lost"),
+                        1,
+                        100 + 2 * i,
+                        Optional.of(new Move(TargetId.of("t1"), 1, 101 + 2 * i))));
+            }
+
+            assertThat(ShardPlanner.plan(table, present, load(60, 1_000, 200)))
+                    .anySatisfy(move -> assertThat(move.range().first() <= 1_199
+                                    && move.range().last() >= 1_000)
+                            .isTrue());
+        }
+
+        /** Where there is room, each request takes less time on a fast target; late answers came from slow ones. */
+        @Test
+        void a_fast_target_gets_more_than_by_its_speed_while_there_is_room() {
+            List<PlanTarget> mixed = List.of(
+                    new PlanTarget(TargetId.of("slow"), 1, 60, true),
+                    new PlanTarget(TargetId.of("fast"), 1, 240, true));
+            ShardTable table = ShardPlanner.initial(mixed);
+            KeyLoad even = KeyLoad.empty();
+            IntStream.range(0, 210).forEach(i -> even.requested(i * 312, 0));
+
+            assertThat(ShardPlanner.plan(table, mixed, even.snapshot(0)))
+                    .isNotEmpty()
+                    .allSatisfy(move -> assertThat(move.to()).isEqualTo(TargetId.of("fast")));
+        }
+
+        @Test
+        void a_difference_that_a_sample_may_show_by_chance_moves_nothing() {
+            ShardTable table = ShardPlanner.initial(targets(2));
+            KeyLoad few = KeyLoad.empty();
+            IntStream.range(0, 22).forEach(i -> few.requested(i * 1_000, 0));
+            IntStream.range(0, 14).forEach(i -> few.requested(40_000 + i * 1_000, 0));
+
+            assertThat(ShardPlanner.plan(table, targets(2), few.snapshot(0))).isEmpty();
+        }
+
         @Test
         void an_even_load_moves_nothing() {
             ShardTable table = ShardPlanner.initial(targets(4));
@@ -171,4 +219,70 @@
                         .sum())
                 .isEqualTo(65_536);
     }
+
+    /**
+     * Busy keys close to one another, as on a bench day where the table grew to 671 assignments: after all hosts had been
+     * killed the grantor couldn't renew as many in time.
+     */
+    @Nested
+    class BusyNeighbourhood {
+
+        private static final int TARGETS = 21;
+        private static final int REQUESTS_PER_SECOND = 480;
+        private static final int PLANS_PER_SECOND = 5;
+        private static final int SECONDS = 40;
+        private static final int BUSY_KEYS = 3_000;
+        private static final double SKEW = 0.65;
+
+        private final RandomGenerator random = new SplittableRandom(7);
+        private final double[] speeds = {0.5, 1.0, 1.0, 1.5};
+
+        private List<PlanTarget> unevenTargets() {
+            return IntStream.range(0, TARGETS)
+                    .mapToObj(i -> new PlanTarget(TargetId.of("t" + i), 1, 45 * speeds[i % speeds.length], true))
+                    .toList();
+        }
+
+        private int key(int firstBusy) {
+            double rank = Math.pow(random.nextDouble(), 1 / (1 - SKEW)) * BUSY_KEYS;
+            return random.nextDouble() < 0.3 ? random.nextInt(65_536) : firstBusy + (int) rank;
+        }
+
+        private ShardTable played(List<PlanTarget> targets, KeyLoad load) {
+            ShardTable table = ShardPlanner.initial(targets);
+            for (int round = 0; round < SECONDS * PLANS_PER_SECOND; round++) {
+                long now = round * 1_000L / PLANS_PER_SECOND;
+                int firstBusy = 20_000 + round / (PLANS_PER_SECOND * 10) * 2_000;
+                for (int i = 0; i < REQUESTS_PER_SECOND / PLANS_PER_SECOND; i++) {
+                    load.requested(key(firstBusy), now);
+                }
+                for (PlannedMove move : ShardPlanner.plan(table, targets, load.snapshot(now))) {
+                    table = table.with(
+                            new Assignment(move.range(), move.to(), 1, table.lastFence() + 1, Optional.empty()));
+                }
+                table = ShardPlanner.join(table, targets.size());
+            }
+            return table;
+        }
+
+        @Test
+        void the_table_stays_small() {
+            assertThat(played(unevenTargets(), KeyLoad.empty()).assignments()).hasSizeLessThan(TARGETS * 6);
+        }
+
+        @Test
+        void no_target_is_left_far_more_crowded_than_it_bears() {
+            List<PlanTarget> targets = unevenTargets();
+            KeyLoad load = KeyLoad.empty();
+            ShardTable table = played(targets, load);
+            KeyLoad.Snapshot last = load.snapshot(SECONDS * 1_000L);
+            for (PlanTarget target : targets) {
+                double carried = table.assignments().stream()
+                        .filter(row -> row.owner().equals(target.id()))
+                        .mapToDouble(row -> last.perSecond(row.range()))
+                        .sum();
+                assertThat(carried).isLessThan(target.perSecond());
+            }
+        }
+    }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -122,7 +122,10 @@
             Function<EventLoop, StoreClient> stores,
             BiFunction<ConnectionPool, WireNames, GrantClient> grants) {
         PollAge news = PollAge.by(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
-        EventLoop loop = new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), news).next();
+        NioEventLoopGroup loops = new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), news);
+        // All that is due is done in each pass, so that callers' ends don't queue behind later work.
+        loops.setIoRatio(100);
+        EventLoop loop = loops.next();
         GatewayProcess process = new GatewayProcess(options, loop, news, names, decoder, stores, grants);
         process.listen();
         return process;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -153,6 +153,11 @@
                 calls.remove(send.attempt());
                 attemptFailed(send, exchange, failure);
             }
+
+            @Override
+            public boolean abandoned() {
+                return exchange.reply().callerLeft();
+            }
         });
         calls.put(send.attempt(), call);
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -65,15 +65,15 @@
         if (replies.size() >= MAX_PIPELINED) {
             ctx.channel().config().setAutoRead(false);
         }
-        // Decided about after all that has arrived was read, so that a caller that left by then is seen to have left.
+        // The end of a connection may be told only after what lay before it was read, so the loop asks once more before
+        // a request is decided about.
         EventLoop loop = ctx.channel().eventLoop();
         loop.execute(() -> server.news()
-                .whenFresh(loop, () -> left(reply), () -> server.handler().requested(request, reply)));
+                .afterNextPoll(loop, reply::callerLeft, () -> server.handler().requested(request, reply)));
     }
 
-    /** Returns whether a request's caller has left; a channel is closed a while before it says that it is. */
-    private boolean left(CallerReply reply) {
-        return reply.ended() || !context.channel().isActive();
+    boolean open() {
+        return context.channel().isActive();
     }
 
     private static FullHttpResponse badRequest() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerReply.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerReply.java
@@ -54,6 +54,11 @@
         return readAt;
     }
 
+    /** Returns whether the caller has left; its connection is closed a while before it says that it is. */
+    public boolean callerLeft() {
+        return ended || !connection.open();
+    }
+
     boolean ended() {
         return ended;
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -27,7 +27,7 @@
     private static final Logger LOG = LogManager.getLogger(CallerServer.class);
     private static final int BACKLOG = 512;
     /** How many connections are accepted before those that are open are looked at again. */
-    private static final int MAX_ACCEPTED_AT_ONCE = 4;
+    private static final int MAX_ACCEPTED_AT_ONCE = 32;
 
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 65_536;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Call.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Call.java
@@ -63,6 +63,11 @@
         return ended;
     }
 
+    /** Returns whether it isn't to be sent any more. */
+    boolean unwanted() {
+        return ended || listener.abandoned();
+    }
+
     /** Gives the call up: its connection is closed, and the listener hears nothing more. */
     public void cancel() {
         if (end()) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/CallListener.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/CallListener.java
@@ -14,4 +14,9 @@
 
     /** Takes in that there is no answer. */
     void failed(CallFailure failure);
+
+    /** Returns whether nobody waits for the answer any more; a call that has not been sent by then isn't sent. */
+    default boolean abandoned() {
+        return false;
+    }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -72,7 +72,7 @@
         if (timeoutMillis > 0) {
             call.timeout(loop.schedule(() -> call.fail(CallFailure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS));
         }
-        news.whenFresh(loop, call::ended, () -> begin(peer, maxIdleShare, call));
+        news.whenFresh(loop, call::unwanted, () -> begin(peer, maxIdleShare, call));
         return call;
     }
 
@@ -120,7 +120,7 @@
         connecting.addListener(done -> {
             if (done.isSuccess()) {
                 // A call that ends meanwhile closes the channel.
-                news.whenFresh(loop, call::ended, () -> send(connection, channel, call));
+                news.whenFresh(loop, call::unwanted, () -> send(connection, channel, call));
             } else {
                 call.fail(CallFailure.NOT_SENT);
             }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/PollAge.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/PollAge.java
@@ -66,6 +66,11 @@
         loop.schedule(() -> whenFresh(loop, cancelled, action), LATER_PASS_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Runs an action after the loop has asked for news once more, and once the news is fresh. */
+    public void afterNextPoll(EventLoop loop, BooleanSupplier cancelled, Runnable action) {
+        loop.schedule(() -> whenFresh(loop, cancelled, action), LATER_PASS_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public SelectStrategy newSelectStrategy() {
         SelectStrategy usual = DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -20,6 +20,7 @@
 public final class StoreMirror {
 
     private static final Logger LOG = LogManager.getLogger(StoreMirror.class);
+    private static final long GROUP_MILLIS = 40;
     private static final long RETRY_MILLIS = 250;
     private static final long FIRST_WAIT_MILLIS = 20;
     private static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
@@ -182,7 +183,12 @@
         completeAt = Math.max(completeAt, quiet ? Math.min(sentAt + wait, clock.getAsLong()) : sentAt);
         apply(changes);
         confirm(completeAt);
-        next(waitMillis);
+        if (quiet) {
+            next(waitMillis);
+        } else {
+            // Changes come in groups, and each call has its price.
+            loop.schedule(() -> next(waitMillis), GROUP_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void apply(StoreClient.Changes changes) {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/CallerConnectionTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/CallerConnectionTest.java
@@ -15,8 +15,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.dragonflymux.core.desired.RequestLimits;
 import org.dragonflymux.gateway.http.PollAge;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -32,6 +34,11 @@
     private final EmbeddedChannel channel =
             new EmbeddedChannel(new HttpServerCodec(), new HttpObjectAggregator(65_536), new CallerConnection(server));
 
+    @BeforeEach
+    void freezeTime() {
+        channel.freezeTime();
+    }
+
     @Override
     public void requested(FullHttpRequest request, CallerReply reply) {
         String path = request.uri();
@@ -42,6 +49,14 @@
 
     private void send(String text) {
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        pass();
+    }
+
+    /** Lets the loop ask for news and do what is due. */
+    private void pass() {
+        news.polled();
+        channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+        channel.runPendingTasks();
     }
 
     private static FullHttpResponse answer(String body) {
@@ -124,6 +139,18 @@
             assertThat(paths).isEmpty();
         }
 
+        /** Connections lay unaccepted for four seconds, and their ends became visible only after their requests. */
+        @Test
+        void a_request_is_not_decided_about_when_its_caller_is_seen_to_have_left_at_the_next_poll() {
+            channel.writeInbound(
+                    Unpooled.copiedBuffer("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", StandardCharsets.US_ASCII));
+            assertThat(paths).isEmpty();
+            channel.close();
+            pass();
+
+            assertThat(paths).isEmpty();
+        }
+
         /** One pass of a busy loop took over a second; 68 callers left during it and were served all the same. */
         @Test
         void a_decision_that_comes_late_is_put_off_until_the_connection_was_looked_at_again() {
@@ -136,7 +163,7 @@
             channel.runPendingTasks();
             assertThat(paths).isEmpty();
             news.polled();
-            channel.advanceTimeBy(5, java.util.concurrent.TimeUnit.MILLISECONDS);
+            channel.advanceTimeBy(5, TimeUnit.MILLISECONDS);
             channel.runPendingTasks();
 
             assertThat(paths).containsExactly("/1");
@@ -156,11 +183,11 @@
                 channel.runPendingTasks();
                 news.polled();
                 now += 1_500;
-                channel.advanceTimeBy(5, java.util.concurrent.TimeUnit.MILLISECONDS);
+                channel.advanceTimeBy(5, TimeUnit.MILLISECONDS);
             }
             channel.pipeline().fireChannelInactive();
             news.polled();
-            channel.advanceTimeBy(5, java.util.concurrent.TimeUnit.MILLISECONDS);
+            channel.advanceTimeBy(5, TimeUnit.MILLISECONDS);
             channel.runPendingTasks();
 
             assertThat(paths).isEmpty();
