--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -245,6 +245,10 @@
                     .add(exchange.shardKey());
         }
         retries(service.name(), now).requestArrived();
+        if (ownerLost(exchange, now)) {
+            refuse(request, customer, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS));
+            return;
+        }
         double wait = expectedWait(exchange, now);
         if (wait > longestWait(exchange, now)) {
             refuse(request, customer, RefusalReason.OVERLOADED, comeBackAfter(exchange, wait));
@@ -346,6 +350,17 @@
         return table == null ? Optional.empty() : table.owner(exchange.shardKey());
     }
 
+    /** Returns whether a request's only target can't be reached: its keys move on when its grants have run out. */
+    private boolean ownerLost(Exchange exchange, long now) {
+        return exchange.service.sharded()
+                && owner(exchange)
+                        .filter(assignment -> directory
+                                .target(assignment.owner())
+                                .map(target -> target.heldDown(now))
+                                .orElse(true))
+                        .isPresent();
+    }
+
     private RetryAllowance retries(ServiceName service, long now) {
         return retries.computeIfAbsent(service, _ -> new RetryAllowance(settings, fleet::hosts, now));
     }
@@ -606,7 +621,8 @@
         for (List<Exchange> list : List.copyOf(waiting.values())) {
             for (Exchange exchange : List.copyOf(list)) {
                 double longest = exchange.route.objectiveMillis() * HOPELESS_SHARE;
-                if (now - exchange.arrivedAt > longest && exchange.attempts == 0) {
+                boolean tooLong = now - exchange.arrivedAt > longest || ownerLost(exchange, now);
+                if (tooLong && exchange.attempts == 0) {
                     finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS / 2));
                 }
             }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -26,15 +26,15 @@
     private static final int MAX_JOINS = 16;
     private static final int MAX_CONSOLIDATIONS = 8;
     /** A range of less than this part of a target's even share is small. */
-    private static final int SMALL_PART = 2;
+    private static final int SMALL_PART = 12;
     /** More assignments than this for each target are joined where neighbours have the same owner. */
-    private static final int ASSIGNMENTS_PER_TARGET = 2;
+    private static final int ASSIGNMENTS_PER_TARGET = 3;
 
     private static final double PIECES_PER_TARGET = 3;
     /** What any move costs, in keys. */
     private static final double MOVE_KEYS = 8;
     /** What an assignment more costs, in keys, where there is one for each target. */
-    private static final double ASSIGNMENT_KEYS = 30;
+    private static final double ASSIGNMENT_KEYS = 8;
     /** How much more than by their speed faster targets get while there is room: there each request takes less time. */
     private static final double SPEED_PREFERENCE = 0.8;
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -396,6 +396,27 @@
             assertThat(effects).hasSize(1).first().isInstanceOf(GatewayEffect.Send.class);
         }
 
+        /** Requests for a lost owner's keys were held for most of their objective and refused then. */
+        @Test
+        void are_refused_at_once_while_their_owner_can_not_be_reached() {
+            owner(Optional.empty());
+            GatewayEffect.Send send = sent(arriveForKey(7));
+            gateway.ended(send.attempt(), new AttemptResult.NotSent(), now);
+
+            assertThat(reason(gateway.tick(now))).isEqualTo(RefusalReason.NO_TARGET);
+            assertThat(reason(arriveForKey(8))).isEqualTo(RefusalReason.NO_TARGET);
+        }
+
+        @Test
+        void are_refused_at_once_while_their_owner_is_gone() {
+            gateway.shardTable(
+                    SHARDED,
+                    ShardTable.EMPTY.with(new Assignment(all, TargetId.of("gone"), 1, 1, Optional.empty())),
+                    now);
+
+            assertThat(reason(arriveForKey(7))).isEqualTo(RefusalReason.NO_TARGET);
+        }
+
         @Test
         void need_a_key() {
             assertThat(reason(arrive("/key/x"))).isEqualTo(RefusalReason.NO_SHARD_KEY);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -288,11 +288,13 @@
 
         @Override
         public void table(ServiceName service, ShardTable table) {
-            LOG.info(
-                    "event=table service={} assignments={} lastFence={}",
-                    service,
-                    table.assignments().size(),
-                    table.lastFence());
+            if (control.leading()) {
+                LOG.info(
+                        "event=table service={} assignments={} lastFence={}",
+                        service,
+                        table.assignments().size(),
+                        table.lastFence());
+            }
             requests.run(gateway.shardTable(service, table, requestTime()));
         }
 
