Waiting requests are a module of their own; small ranges go back only above five assignments a target

Gateway held both what waits and how long it is expected to; the two are now WaitingRequests, unchanged in behaviour.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -23,7 +23,6 @@
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
-import org.dragonflymux.core.shard.Assignment;
 import org.dragonflymux.core.shard.KeyRange;
 import org.dragonflymux.core.shard.ShardTable;
 
@@ -50,10 +49,9 @@
     private final TargetChoice choice;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final Map<Long, Attempt> attempts = new HashMap<>();
-    private final Map<ServiceName, List<Exchange>> waiting = new HashMap<>();
     private final Map<CustomerName, Integer> customersInFlight = new HashMap<>();
     private final Map<ServiceName, RetryAllowance> retries = new HashMap<>();
-    private final Map<ServiceName, ShardTable> tables = new HashMap<>();
+    private final WaitingRequests waiting;
     private final Map<ServiceName, List<Integer>> requestedKeys = new HashMap<>();
     private final PriorityQueue<Exchange> expiry =
             new PriorityQueue<>(Comparator.comparingLong((Exchange exchange) -> exchange.giveUpAt));
@@ -69,6 +67,7 @@
         this.fleet = new FleetView(settings.host(), directory, quota);
         this.pacer = ColdPacer.of(fleet::hosts);
         this.choice = TargetChoice.of(directory, pacer, settings.domain(), random);
+        this.waiting = new WaitingRequests(directory, choice, fleet);
     }
 
     /** Returns the gateway of a host that knows nothing yet. */
@@ -126,7 +125,7 @@
 
     /** Takes in who owns a service's keys. */
     public List<GatewayEffect> shardTable(ServiceName service, ShardTable table, long now) {
-        tables.put(service, table);
+        waiting.table(service, table);
         dispatch(service, now);
         return taken();
     }
@@ -149,7 +148,7 @@
     /** Returns what this host tells the others. */
     public PeerReport report(long now) {
         List<PeerReport.TargetUse> uses = new ArrayList<>();
-        Map<TargetId, Integer> waitingForOwner = waitingByOwner();
+        Map<TargetId, Integer> waitingForOwner = waiting.countByOwner();
         for (TargetState target : directory.all()) {
             TargetState.Completions done = target.takeCompletions();
             int forOwner = waitingForOwner.getOrDefault(target.entry().id(), 0);
@@ -165,8 +164,6 @@
                         age < 1_000 ? (int) age : -1));
             }
         }
-        Map<ServiceName, Integer> queued = new HashMap<>();
-        waiting.forEach((service, list) -> queued.put(service, list.size()));
         Map<ServiceName, int[]> keys = new HashMap<>();
         requestedKeys.forEach((service, list) ->
                 keys.put(service, list.stream().mapToInt(Integer::intValue).toArray()));
@@ -178,22 +175,10 @@
                 Math.max(0, Math.min(Integer.MAX_VALUE, staleMillis(now))),
                 uses,
                 Map.copyOf(quota.admitted()),
-                queued,
+                waiting.countByService(),
                 keys);
     }
 
-    private Map<TargetId, Integer> waitingByOwner() {
-        Map<TargetId, Integer> result = new HashMap<>();
-        for (List<Exchange> list : waiting.values()) {
-            for (Exchange exchange : list) {
-                if (exchange.service.sharded()) {
-                    owner(exchange).ifPresent(assignment -> result.merge(assignment.owner(), 1, Integer::sum));
-                }
-            }
-        }
-        return result;
-    }
-
     /** Takes in a request. */
     public List<GatewayEffect> arrived(ArrivedRequest request, long now) {
         admit(request, now);
@@ -245,11 +230,11 @@
                     .add(exchange.shardKey());
         }
         retries(service.name(), now).requestArrived();
-        if (ownerLost(exchange, now)) {
+        if (waiting.ownerLost(exchange, now)) {
             refuse(request, customer, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS));
             return;
         }
-        double wait = expectedWait(exchange, now);
+        double wait = waiting.expectedMillis(exchange, now);
         if (wait > longestWait(exchange, now)) {
             refuse(request, customer, RefusalReason.OVERLOADED, comeBackAfter(exchange, wait));
             return;
@@ -263,7 +248,7 @@
         }
         exchanges.put(request.exchange(), exchange);
         expiry.add(exchange);
-        enqueue(exchange);
+        waiting.add(exchange);
         dispatch(service.name(), now);
     }
 
@@ -298,87 +283,19 @@
         return (long) (millis * (1 + 0.5 * random.nextDouble()));
     }
 
-    /** Returns how long a request would wait until a target begins to work on it, in milliseconds. */
-    private double expectedWait(Exchange exchange, long now) {
-        ServiceName service = exchange.service.name();
-        if (exchange.service.sharded()) {
-            Optional<TargetState> owner = owner(exchange).flatMap(a -> directory.target(a.owner()));
-            return owner.map(target -> expectedWaitAtOwner(exchange, target, now))
-                    .orElse(0.0);
-        }
-        double guess = directory.meanServiceMillis(service);
-        double perMilli = 0;
-        double room = 0;
-        for (TargetState target : directory.of(service)) {
-            if (choice.usable(target, now)) {
-                perMilli += target.entry().slots() / (target.serviceMillis(guess) * target.slowdown(now));
-                room += target.entry().slots() - target.busy();
-            }
-        }
-        double ahead = ahead(exchange) + fleet.waiting(service) + 1 - room;
-        return ahead <= 0 ? 0 : perMilli == 0 ? Double.MAX_VALUE : ahead / perMilli;
-    }
-
-    private double expectedWaitAtOwner(Exchange exchange, TargetState target, long now) {
-        double guess = directory.meanServiceMillis(exchange.service.name());
-        long ahead = waitingFor(exchange.service.name()).stream()
-                .filter(other -> other.priority <= exchange.priority)
-                .filter(other -> owner(other)
-                        .filter(a -> a.owner().equals(target.entry().id()))
-                        .isPresent())
-                .count();
-        double full = ahead
-                + target.waitingAtPeers()
-                + target.busy()
-                + 1
-                - target.entry().slots();
-        return full <= 0 ? 0 : target.millisFor(full, guess, now);
-    }
-
-    private long ahead(Exchange exchange) {
-        return waitingFor(exchange.service.name()).stream()
-                .filter(other -> other.priority <= exchange.priority)
-                .count();
-    }
-
-    private List<Exchange> waitingFor(ServiceName service) {
-        return waiting.getOrDefault(service, List.of());
-    }
-
-    private Optional<Assignment> owner(Exchange exchange) {
-        ShardTable table = tables.get(exchange.service.name());
-        return table == null ? Optional.empty() : table.owner(exchange.shardKey());
-    }
-
-    /** Returns whether a request's only target can't be reached: its keys move on when its grants have run out. */
-    private boolean ownerLost(Exchange exchange, long now) {
-        return exchange.service.sharded()
-                && owner(exchange)
-                        .filter(assignment -> directory
-                                .target(assignment.owner())
-                                .map(target -> target.heldDown(now))
-                                .orElse(true))
-                        .isPresent();
-    }
-
     private RetryAllowance retries(ServiceName service, long now) {
         return retries.computeIfAbsent(service, _ -> new RetryAllowance(settings, fleet::hosts, now));
     }
 
-    private void enqueue(Exchange exchange) {
-        exchange.waiting = true;
-        waiting.computeIfAbsent(exchange.service.name(), _ -> new ArrayList<>()).add(exchange);
-    }
-
     private void dispatchAll(long now) {
-        for (ServiceName service : List.copyOf(waiting.keySet())) {
+        for (ServiceName service : waiting.services()) {
             dispatch(service, now);
         }
     }
 
     private void dispatch(ServiceName service, long now) {
-        List<Exchange> list = waiting.get(service);
-        if (list == null || list.isEmpty()) {
+        List<Exchange> list = waiting.of(service);
+        if (list.isEmpty()) {
             return;
         }
         if (list.size() > 1) {
@@ -406,7 +323,7 @@
         if (!exchange.service.sharded()) {
             return choice.best(exchange.service.name(), exchange.tried, exchange.route.largeAnswers(), now);
         }
-        return owner(exchange)
+        return waiting.owner(exchange)
                 .filter(assignment -> assignment.move().isEmpty())
                 .flatMap(assignment -> directory
                         .target(assignment.owner())
@@ -483,7 +400,7 @@
                 target.failed(true, now);
                 exchange.attempts--;
                 if (exchange.tried.size() < MAX_UNSENT || exchange.service.sharded()) {
-                    enqueue(exchange);
+                    waiting.add(exchange);
                 } else {
                     finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS));
                 }
@@ -513,7 +430,7 @@
                         && !exchange.service.sharded()
                         && retries(exchange.service.name(), now).trySpend(now);
                 if (again) {
-                    enqueue(exchange);
+                    waiting.add(exchange);
                 } else if (exchange.running.isEmpty()) {
                     deliver(attempt, now);
                 }
@@ -542,10 +459,10 @@
             return;
         }
         if (exchange.mayRetry() && retries(exchange.service.name(), now).trySpend(now)) {
-            enqueue(exchange);
+            waiting.add(exchange);
             return;
         }
-        long comeBack = Math.max(RETRY_AFTER_FLOOR_MILLIS, (long) expectedWait(exchange, now));
+        long comeBack = Math.max(RETRY_AFTER_FLOOR_MILLIS, (long) waiting.expectedMillis(exchange, now));
         finish(exchange, exchange.mayHaveRun ? RefusalReason.LOST_ANSWER : reason, spread(comeBack));
     }
 
@@ -568,10 +485,7 @@
             forget(other.number());
             effects.add(new GatewayEffect.Cancel(other.number()));
         }
-        if (exchange.waiting) {
-            waitingFor(exchange.service.name()).remove(exchange);
-            exchange.waiting = false;
-        }
+        waiting.remove(exchange);
     }
 
     private void refuse(ArrivedRequest request, RefusalReason reason, long retryAfterMillis) {
@@ -618,10 +532,10 @@
 
     /** Refuses what has waited so long that coming back later serves the caller better. */
     private void refuseHopeless(long now) {
-        for (List<Exchange> list : List.copyOf(waiting.values())) {
-            for (Exchange exchange : List.copyOf(list)) {
+        for (ServiceName service : waiting.services()) {
+            for (Exchange exchange : List.copyOf(waiting.of(service))) {
                 double longest = exchange.route.objectiveMillis() * HOPELESS_SHARE;
-                boolean tooLong = now - exchange.arrivedAt > longest || ownerLost(exchange, now);
+                boolean tooLong = now - exchange.arrivedAt > longest || waiting.ownerLost(exchange, now);
                 if (tooLong && exchange.attempts == 0) {
                     finish(exchange, RefusalReason.NO_TARGET, spread(TARGET_RETURN_MILLIS / 2));
                 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -28,7 +28,9 @@
     /** A range of less than this part of a target's even share is small. */
     private static final int SMALL_PART = 12;
     /** More assignments than this for each target are joined where neighbours have the same owner. */
-    private static final int ASSIGNMENTS_PER_TARGET = 3;
+    private static final int ASSIGNMENTS_PER_TARGET = 2;
+    /** Above this many, small ranges move to their neighbours' owners. */
+    private static final int FEW_ASSIGNMENTS_PER_TARGET = 5;
 
     private static final double PIECES_PER_TARGET = 3;
     /** What any move costs, in keys. */
@@ -222,7 +224,7 @@
 
         /** Moves small ranges with little load to their neighbours' owners where there are many assignments. */
         private void consolidate() {
-            if (table.assignments().size() <= targets.size() * ASSIGNMENTS_PER_TARGET) {
+            if (table.assignments().size() <= targets.size() * FEW_ASSIGNMENTS_PER_TARGET) {
                 return;
             }
             Set<Assignment> planned = moves.stream()
