dragonflyctl explain tells from hosts' logs what happened to a request, and why

Cause: a failed request could be followed only by searching the logs by hand; what its host took for true then stood elsewhere. Change: `explain ID` reads any hosts' logs from standard input and gives the events in order, what the host believed and since when, and the cause.

--- a/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/CtlError.java
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/CtlError.java
@@ -101,4 +101,18 @@
             return file + " cannot be read";
         }
     }
+
+    /** No line of the logs names a request. */
+    record NotInLogs(String requestId) implements CtlError {
+        @Override
+        public int exitCode() {
+            return 9;
+        }
+
+        @Override
+        public String message() {
+            return "no line names the request " + requestId
+                    + "; lines beyond 20 a second and host are left out by hosts";
+        }
+    }
 }
--- a/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/command/Commands.java
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/command/Commands.java
@@ -16,6 +16,7 @@
         List<Command> commands = new ArrayList<>(DocumentCommands.all());
         commands.addAll(FleetCommands.all());
         commands.addAll(CredentialCommands.all());
+        commands.addAll(LogCommands.all());
         return List.copyOf(commands);
     }
 
