--- a/dragonflymux-ctl/src/test/java/org/dragonflymux/ctl/explain/RequestStoryTest.java
+++ b/dragonflymux-ctl/src/test/java/org/dragonflymux/ctl/explain/RequestStoryTest.java
@@ -12,7 +12,7 @@
 class RequestStoryTest {
 
     private static List<String> log() throws IOException {
-        try (InputStream file = RequestStoryTest.class.getResourceAsStream("/explain/bench-day.log")) {
+        try (InputStream file = RequestStoryTest.class.getResourceAsStream("/explain/bench-day-lines.txt")) {
             return new String(file.readAllBytes(), StandardCharsets.UTF_8)
                     .lines()
                     .toList();
