What is put off has one way; the requests ahead are picked out in one place; an accessor that nothing called is gone

Found on reading the whole change once more, behaviour as before: PollAge scheduled a later pass in two places, WaitingRequests filtered by priority in two, and Call.sent() had no caller.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/WaitingRequests.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/WaitingRequests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.dragonflymux.core.balance.TargetChoice;
 import org.dragonflymux.core.balance.TargetDirectory;
 import org.dragonflymux.core.balance.TargetState;
@@ -83,14 +84,13 @@
                 room += target.entry().slots() - target.busy();
             }
         }
-        double ahead = ahead(exchange) + fleet.waiting(service) + 1 - room;
+        double ahead = ahead(exchange).count() + fleet.waiting(service) + 1 - room;
         return ahead <= 0 ? 0 : perMilli == 0 ? Double.MAX_VALUE : ahead / perMilli;
     }
 
     private double expectedWaitAtOwner(Exchange exchange, TargetState target, long now) {
         double guess = directory.meanServiceMillis(exchange.service.name());
-        long ahead = of(exchange.service.name()).stream()
-                .filter(other -> other.priority <= exchange.priority)
+        long ahead = ahead(exchange)
                 .filter(other -> owner(other)
                         .filter(a -> a.owner().equals(target.entry().id()))
                         .isPresent())
@@ -103,10 +103,8 @@
         return full <= 0 ? 0 : target.millisFor(full, guess, now);
     }
 
-    private long ahead(Exchange exchange) {
-        return of(exchange.service.name()).stream()
-                .filter(other -> other.priority <= exchange.priority)
-                .count();
+    private Stream<Exchange> ahead(Exchange exchange) {
+        return of(exchange.service.name()).stream().filter(other -> other.priority <= exchange.priority);
     }
 
     /** Returns the requests that wait for a service, to be taken out of by whoever sends them. */
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Call.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Call.java
@@ -40,10 +40,6 @@
         sent = true;
     }
 
-    boolean sent() {
-        return sent;
-    }
-
     /** Marks the call as ended; returns false if it had ended before. */
     boolean end() {
         if (ended) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/PollAge.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/PollAge.java
@@ -61,9 +61,9 @@
         }
         if (fresh()) {
             action.run();
-            return;
+        } else {
+            afterNextPoll(loop, cancelled, action);
         }
-        loop.schedule(() -> whenFresh(loop, cancelled, action), LATER_PASS_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Runs an action after the loop has asked for news once more, and once the news is fresh. */
