--- /dev/null
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RateFleet.java
@@ -0,0 +1,316 @@
+package org.dragonflymux.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import org.dragonflymux.core.balance.TargetEntry;
+import org.dragonflymux.core.desired.CustomerSpec;
+import org.dragonflymux.core.desired.DesiredState;
+import org.dragonflymux.core.desired.RequestLimits;
+import org.dragonflymux.core.desired.Route;
+import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.desired.WeightedService;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+
+/**
+ * Hosts on virtual time that share customers' rates, over a network that delays, loses and cuts, with a store that lists
+ * them. Targets have room for all, so what is refused is refused for its rate. Times are milliseconds.
+ */
+final class RateFleet {
+
+    /** How long a registration outlives its host. */
+    static final long LEASE_MILLIS = 2_500;
+
+    private static final ServiceName SERVICE = ServiceName.of("s");
+    private static final FailureDomain DOMAIN = FailureDomain.of("a");
+    private static final long REPORT_MILLIS = 100;
+    private static final long TICK_MILLIS = 30;
+    private static final long NEVER = Long.MAX_VALUE / 4;
+    private static final int ENOUGH_SLOTS = 1_000_000;
+
+    private final SplittableRandom random;
+    private final List<Host> hosts = new ArrayList<>();
+    private final PriorityQueue<Delivery> network = new PriorityQueue<>(
+            Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::number));
+    private final Map<String, List<Long>> admittedAt = new HashMap<>();
+    private final Map<String, Integer> refused = new HashMap<>();
+    private Map<String, CustomerSpec> customers;
+    private BiPredicate<Integer, Integer> cut = (_, _) -> false;
+    private BiPredicate<Integer, Long> cutFromStore = (_, _) -> false;
+    private double lossRatio;
+    private long version = 1;
+    private long now;
+    private long sent;
+    private long exchanges;
+
+    private record Delivery(long at, long number, int to, Runnable action) {}
+
+    private final class Host {
+        private final int number;
+        private long incarnation;
+        private Gateway gateway;
+        private DesiredState state;
+        private long upSince;
+        private long silentUntil;
+        private long pausedUntil;
+        private long registeredUntil;
+        private final List<Runnable> inbox = new ArrayList<>();
+
+        Host(int number) {
+            this.number = number;
+        }
+
+        HostId id() {
+            return HostId.of("h" + number);
+        }
+
+        boolean runs() {
+            return now >= upSince && now >= pausedUntil;
+        }
+
+        void start() {
+            incarnation++;
+            inbox.clear();
+            gateway = Gateway.of(
+                    new GatewaySettings(id(), incarnation, DOMAIN, NEVER, 0.2, 50, 10_000),
+                    new SplittableRandom(random.nextLong()));
+            gateway.directory()
+                    .replace(
+                            List.of(new TargetEntry(
+                                    TargetId.of("t"), SERVICE, "127.0.0.1:1", DOMAIN, ENOUGH_SLOTS, false, 0, 1)),
+                            now);
+            learn(state);
+        }
+
+        void learn(DesiredState newer) {
+            state = newer;
+            gateway.desiredState(newer, now);
+        }
+    }
+
+    RateFleet(int hostCount, long seed, List<CustomerSpec> specs) {
+        random = new SplittableRandom(seed);
+        customers = byCredential(specs);
+        for (int i = 0; i < hostCount; i++) {
+            addHost();
+        }
+    }
+
+    private static Map<String, CustomerSpec> byCredential(List<CustomerSpec> specs) {
+        Map<String, CustomerSpec> result = new HashMap<>();
+        specs.forEach(spec -> result.put(spec.name().value(), spec));
+        return result;
+    }
+
+    private DesiredState state() {
+        Route route =
+                new Route("r", "/", true, false, 1_000, 300, 1, List.of(new WeightedService(SERVICE, 1)), 2, false);
+        return new DesiredState(
+                version,
+                Map.of("host", List.of(route)),
+                Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 100, 3_000, 10, false)),
+                customers,
+                true,
+                new RequestLimits(8_192, 1 << 20, 3_000, 15_000));
+    }
+
+    /** Adds a host that begins to take requests at once. */
+    int addHost() {
+        Host host = new Host(hosts.size());
+        host.state = state();
+        hosts.add(host);
+        host.start();
+        return host.number;
+    }
+
+    int size() {
+        return hosts.size();
+    }
+
+    long now() {
+        return now;
+    }
+
+    /** Sets which datagrams never arrive, by the numbers of sender and receiver. */
+    void cut(BiPredicate<Integer, Integer> newCut) {
+        cut = newCut;
+    }
+
+    /** Sets which hosts don't reach the store, by number and time. */
+    void cutFromStore(BiPredicate<Integer, Long> newCut) {
+        cutFromStore = newCut;
+    }
+
+    /** Sets which share of the datagrams is lost. */
+    void lose(double ratio) {
+        lossRatio = ratio;
+    }
+
+    /** Suspends a host; what reaches it meanwhile lies there until it goes on. */
+    void pause(int host, long millis) {
+        hosts.get(host).pausedUntil = now + millis;
+    }
+
+    /** Kills a host; it is back after a time, and says nothing for another time, since its start is slow. */
+    void restart(int host, long downMillis, long silentMillis) {
+        Host restarted = hosts.get(host);
+        restarted.upSince = now + downMillis;
+        restarted.silentUntil = now + downMillis + silentMillis;
+        restarted.pausedUntil = 0;
+        restarted.start();
+    }
+
+    /** Replaces the customers' limits; each host learns of it after a time of its own. */
+    void limits(List<CustomerSpec> specs, long latestMillis) {
+        customers = byCredential(specs);
+        version++;
+        DesiredState newer = state();
+        for (Host host : hosts) {
+            deliver(host.number, random.nextLong(latestMillis + 1), () -> host.learn(newer));
+        }
+    }
+
+    /** Has a customer's request come to a host; one that doesn't run takes none. */
+    void request(int host, String customer) {
+        Host at = hosts.get(host);
+        if (now < at.upSince) {
+            return;
+        }
+        Runnable arrival = () -> run(
+                at,
+                customer,
+                at.gateway.arrived(
+                        new ArrivedRequest(
+                                ++exchanges,
+                                "id",
+                                "host",
+                                "/x",
+                                Optional.of(customer),
+                                OptionalInt.empty(),
+                                OptionalLong.of(2_000)),
+                        now));
+        if (at.runs()) {
+            arrival.run();
+        } else {
+            at.inbox.add(arrival);
+        }
+    }
+
+    private void run(Host host, String customer, List<GatewayEffect> effects) {
+        for (GatewayEffect effect : effects) {
+            switch (effect) {
+                case GatewayEffect.Send send -> {
+                    admittedAt.computeIfAbsent(customer, _ -> new ArrayList<>()).add(now);
+                    host.gateway.ended(
+                            send.attempt(), new AttemptResult.Answered(AttemptResult.Grade.SUCCESS), now);
+                }
+                case GatewayEffect.Refuse _ -> refused.merge(customer, 1, Integer::sum);
+                case GatewayEffect.Cancel _, GatewayEffect.Deliver _ -> {}
+            }
+        }
+    }
+
+    private void deliver(int to, long delay, Runnable action) {
+        network.add(new Delivery(now + delay, ++sent, to, action));
+    }
+
+    /** Lets a millisecond pass. */
+    void step() {
+        now++;
+        while (!network.isEmpty() && network.peek().at() <= now) {
+            Delivery delivery = network.poll();
+            Host host = hosts.get(delivery.to());
+            if (now < host.upSince) {
+                continue;
+            }
+            if (host.runs()) {
+                delivery.action().run();
+            } else {
+                host.inbox.add(delivery.action());
+            }
+        }
+        for (Host host : hosts) {
+            if (host.runs()) {
+                step(host);
+            }
+        }
+    }
+
+    private void step(Host host) {
+        List<Runnable> late = List.copyOf(host.inbox);
+        host.inbox.clear();
+        late.forEach(Runnable::run);
+        if (now % TICK_MILLIS == host.number % TICK_MILLIS) {
+            host.gateway.tick(now);
+        }
+        if (!cutFromStore.test(host.number, now)) {
+            host.gateway.storeConfirmed(now);
+            host.registeredUntil = now + LEASE_MILLIS;
+            host.gateway.hosts(registered());
+        }
+        if (now % REPORT_MILLIS == host.number % REPORT_MILLIS && now >= host.silentUntil) {
+            report(host);
+        }
+    }
+
+    private Set<HostId> registered() {
+        Set<HostId> result = new HashSet<>();
+        for (Host host : hosts) {
+            if (now < host.registeredUntil) {
+                result.add(host.id());
+            }
+        }
+        return result;
+    }
+
+    private void report(Host from) {
+        PeerReport report = from.gateway.report(now);
+        for (Host to : hosts) {
+            boolean lost = cut.test(from.number, to.number) || random.nextDouble() < lossRatio;
+            if (to != from && !lost) {
+                deliver(to.number, 1 + random.nextLong(3), () -> to.gateway.reported(report, now));
+            }
+        }
+    }
+
+    /** Returns how many requests of a customer were refused. */
+    int refused(String customer) {
+        return refused.getOrDefault(customer, 0);
+    }
+
+    /** Returns how many requests of a customer were admitted. */
+    int admitted(String customer) {
+        return admittedAt.getOrDefault(customer, List.of()).size();
+    }
+
+    /** Returns the most requests of a customer that were admitted in any window that begins at a time or later. */
+    int mostAdmitted(String customer, long windowMillis, long from) {
+        List<Long> times = admittedAt.getOrDefault(customer, List.of());
+        int most = 0;
+        for (int first = 0, last = 0; last < times.size(); last++) {
+            while (times.get(first) < from || times.get(first) <= times.get(last) - windowMillis) {
+                if (first == last) {
+                    break;
+                }
+                first++;
+            }
+            if (times.get(first) >= from) {
+                most = Math.max(most, last - first + 1);
+            }
+        }
+        return most;
+    }
+}
