--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Exchange.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Exchange.java
@@ -9,6 +9,7 @@
 import org.dragonflymux.core.desired.Route;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.quota.Token;
 
 /** A request from its admission to its final answer. */
 final class Exchange {
@@ -25,6 +26,8 @@
     int attempts;
     boolean mayHaveRun;
     boolean waiting;
+    boolean awaitsToken;
+    Optional<Token> token = Optional.empty();
     boolean done;
     long retryAt = Long.MIN_VALUE;
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
@@ -14,26 +14,21 @@
 final class FleetView {
 
     private static final long SILENT_MILLIS = 1_000;
-    /** After this time without a report a host is assumed to admit as before; what it says later corrects that. */
-    private static final long ASSUMED_AFTER_MILLIS = 350;
 
     private final HostId self;
     private final TargetDirectory directory;
-    private final FleetQuota quota;
     private final Map<HostId, Heard> heard = new HashMap<>();
     private Set<HostId> registered = Set.of();
 
     private static final class Heard {
         private PeerReport report;
         private long at;
-        private long assumedUntil;
         private boolean silent;
     }
 
-    FleetView(HostId self, TargetDirectory directory, FleetQuota quota) {
+    FleetView(HostId self, TargetDirectory directory) {
         this.self = self;
         this.directory = directory;
-        this.quota = quota;
     }
 
     /** Replaces the hosts that are registered. */
@@ -66,9 +61,7 @@
         }
         peer.report = report;
         peer.at = now;
-        peer.assumedUntil = now;
         peer.silent = false;
-        quota.peerAdmitted(report.from(), report.incarnation(), report.admitted(), now);
     }
 
     private void forgetAbsent(PeerReport before, PeerReport after) {
@@ -98,20 +91,14 @@
     void tick(long now) {
         heard.entrySet().removeIf(entry -> {
             Heard peer = entry.getValue();
-            if (now - peer.at < ASSUMED_AFTER_MILLIS) {
+            if (now - peer.at < SILENT_MILLIS) {
                 return false;
             }
-            if (now - peer.at >= SILENT_MILLIS && !peer.silent) {
+            if (!peer.silent) {
                 peer.silent = true;
                 directory.forgetPeer(entry.getKey());
             }
-            if (peer.silent && !registered.contains(entry.getKey())) {
-                quota.forget(entry.getKey());
-                return true;
-            }
-            quota.assume(entry.getKey(), now - peer.assumedUntil);
-            peer.assumedUntil = now;
-            return false;
+            return !registered.contains(entry.getKey());
         });
     }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.core.gateway;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -23,6 +24,11 @@
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.quota.FleetRates;
+import org.dragonflymux.core.quota.LenderSeat;
+import org.dragonflymux.core.quota.RateDecision;
+import org.dragonflymux.core.quota.RateMessage;
+import org.dragonflymux.core.quota.Token;
 import org.dragonflymux.core.shard.KeyRange;
 import org.dragonflymux.core.shard.ShardTable;
 
@@ -43,7 +49,7 @@
     private final GatewaySettings settings;
     private final RandomGenerator random;
     private final TargetDirectory directory = TargetDirectory.empty();
-    private final FleetQuota quota;
+    private final FleetRates rates;
     private final FleetView fleet;
     private final ColdPacer pacer;
     private final TargetChoice choice;
@@ -57,14 +63,15 @@
             new PriorityQueue<>(Comparator.comparingLong((Exchange exchange) -> exchange.giveUpAt));
     private Optional<DesiredState> desired = Optional.empty();
     private long confirmedAt = Long.MIN_VALUE / 2;
+    private long sleptMillis;
     private long lastAttempt;
     private List<GatewayEffect> effects = new ArrayList<>();
 
     private Gateway(GatewaySettings settings, RandomGenerator random) {
         this.settings = settings;
         this.random = random;
-        this.quota = new FleetQuota();
-        this.fleet = new FleetView(settings.host(), directory, quota);
+        this.rates = FleetRates.of(settings.host(), settings.incarnation());
+        this.fleet = new FleetView(settings.host(), directory);
         this.pacer = ColdPacer.of(fleet::hosts);
         this.choice = TargetChoice.of(directory, pacer, settings.domain(), random);
         this.waiting = new WaitingRequests(directory, choice, fleet);
@@ -98,11 +105,16 @@
     }
 
     private List<GatewayEffect> taken() {
+        rates.taken().forEach(message -> effects.add(new GatewayEffect.Tell(nextHost(message), message)));
         List<GatewayEffect> result = effects;
         effects = new ArrayList<>();
         return result;
     }
 
+    private HostId nextHost(RateMessage message) {
+        return message.via().filter(host -> !host.equals(settings.host())).orElse(message.to());
+    }
+
     /** Takes in that the store had nothing newer at the given time. */
     public void storeConfirmed(long at) {
         confirmedAt = Math.max(confirmedAt, at);
@@ -111,16 +123,17 @@
     /** Takes in that the machine was suspended, which the clock of requests doesn't count. */
     public void suspended(long millis) {
         confirmedAt -= millis;
+        sleptMillis += millis;
     }
 
     /** Takes in a desired state; an older one than the present is ignored. */
-    public void desiredState(DesiredState newer, long now) {
+    public void desiredState(DesiredState newer) {
         if (desired.isPresent() && desired.get().version() >= newer.version()) {
             return;
         }
         desired = Optional.of(newer);
         pacer.services(newer.services());
-        quota.customers(newer.customersByCredential().values(), fleet.hosts(), now);
+        rates.customers(newer.customersByCredential().values());
     }
 
     /** Takes in who owns a service's keys. */
@@ -133,6 +146,28 @@
     /** Takes in which hosts are registered. */
     public void hosts(Set<HostId> registered) {
         fleet.registered(registered);
+        rates.members(registered);
+    }
+
+    /** Takes in which hosts lend customers' tokens. */
+    public void lenders(Collection<LenderSeat> seats, long now) {
+        rates.seats(seats, now + sleptMillis);
+    }
+
+    /**
+     * Takes in that this host's lease surely holds.
+     *
+     * @param lease the lease
+     * @param until for how long, by the clock of requests and what the machine was suspended
+     */
+    public void leaseHolds(long lease, long until, long now) {
+        rates.lease(lease, until, now + sleptMillis);
+    }
+
+    /** Takes in what another host says about rates. */
+    public List<GatewayEffect> told(RateMessage message, long now) {
+        decide(rates.received(message, now + sleptMillis), now);
+        return taken();
     }
 
     /** Takes in what another host says. */
@@ -174,7 +209,6 @@
                 desired.map(DesiredState::version).orElse(0L),
                 Math.max(0, Math.min(Integer.MAX_VALUE, staleMillis(now))),
                 uses,
-                Map.copyOf(quota.admitted()),
                 waiting.countByService(),
                 keys);
     }
@@ -239,17 +273,42 @@
             refuse(request, customer, RefusalReason.OVERLOADED, comeBackAfter(exchange, wait));
             return;
         }
-        if (customer.isPresent()) {
-            long untilToken = quota.take(customer.get(), fleet.hosts(), now);
-            if (untilToken > 0) {
-                refuse(request, customer, RefusalReason.OVER_RATE, spread(untilToken));
-                return;
-            }
-        }
         exchanges.put(request.exchange(), exchange);
         expiry.add(exchange);
+        if (customer.filter(CustomerSpec::limited).isEmpty()) {
+            enqueue(exchange, now);
+            return;
+        }
+        exchange.awaitsToken = true;
+        decide(rates.take(customer.get().name(), request.exchange(), now + sleptMillis), now);
+    }
+
+    private void enqueue(Exchange exchange, long now) {
         waiting.add(exchange);
-        dispatch(service.name(), now);
+        dispatch(exchange.service.name(), now);
+    }
+
+    private void decide(List<RateDecision> decisions, long now) {
+        for (RateDecision decision : decisions) {
+            Exchange exchange = exchanges.get(decision.request());
+            switch (decision) {
+                case RateDecision.Admitted admitted -> admitted(exchange, admitted.token(), now);
+                case RateDecision.OverRate over -> {
+                    exchange.awaitsToken = false;
+                    finish(exchange, RefusalReason.OVER_RATE, spread(over.nextMillis()));
+                }
+                case RateDecision.NoLender _ -> {
+                    exchange.awaitsToken = false;
+                    finish(exchange, RefusalReason.RATE_UNKNOWN, spread(TARGET_RETURN_MILLIS));
+                }
+            }
+        }
+    }
+
+    private void admitted(Exchange exchange, Token token, long now) {
+        exchange.awaitsToken = false;
+        exchange.token = Optional.of(token);
+        enqueue(exchange, now);
     }
 
     private ServiceSpec chooseService(Route route) {
@@ -336,6 +395,8 @@
         exchange.waiting = false;
         exchange.attempts++;
         exchange.tried.add(target.entry().id());
+        exchange.token.ifPresent(rates::used);
+        exchange.token = Optional.empty();
         target.sent(now);
         Attempt attempt = new Attempt(++lastAttempt, exchange, target, now, target.busy());
         attempts.put(attempt.number(), attempt);
@@ -472,9 +533,6 @@
         }
         effects.add(new GatewayEffect.Refuse(
                 exchange.request.exchange(), reason, retryAfter, exchange.customer.map(CustomerSpec::name)));
-        if (!exchange.mayHaveRun && exchange.running.isEmpty()) {
-            exchange.customer.filter(CustomerSpec::limited).ifPresent(customer -> quota.giveBack(customer.name()));
-        }
         close(exchange);
     }
 
@@ -486,6 +544,10 @@
             effects.add(new GatewayEffect.Cancel(other.number()));
         }
         waiting.remove(exchange);
+        exchange.token.ifPresent(rates::giveBack);
+        if (exchange.awaitsToken) {
+            exchange.customer.ifPresent(customer -> rates.abandon(customer.name(), exchange.request.exchange()));
+        }
     }
 
     private void refuse(ArrivedRequest request, RefusalReason reason, long retryAfterMillis) {
@@ -511,6 +573,7 @@
     /** Does what is due. */
     public List<GatewayEffect> tick(long now) {
         fleet.tick(now);
+        decide(rates.tick(now + sleptMillis), now);
         while (!expiry.isEmpty() && (expiry.peek().done || expiry.peek().giveUpAt <= now)) {
             expired(expiry.poll());
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewayEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewayEffect.java
@@ -3,7 +3,9 @@
 import java.util.Optional;
 import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.quota.RateMessage;
 
 /** What the gateway wants done. */
 public sealed interface GatewayEffect {
@@ -65,4 +67,12 @@
      */
     record Refuse(long exchange, RefusalReason reason, long retryAfterMillis, Optional<CustomerName> customer)
             implements GatewayEffect {}
+
+    /**
+     * Tell another host something about rates.
+     *
+     * @param to the host that is to get the message next
+     * @param message the message
+     */
+    record Tell(HostId to, RateMessage message) implements GatewayEffect {}
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
@@ -15,7 +14,6 @@
  * @param stateVersion the version of its desired state
  * @param staleMillis for how long its view of the store hasn't been confirmed
  * @param targets what it has at targets and saw of them
- * @param admitted how many requests of each customer it has admitted in this life
  * @param waiting how many requests wait there, by service
  * @param keys shard keys requested since the last report, by service
  */
@@ -25,7 +23,6 @@
         long stateVersion,
         long staleMillis,
         List<TargetUse> targets,
-        Map<CustomerName, Long> admitted,
         Map<ServiceName, Integer> waiting,
         Map<ServiceName, int[]> keys) {
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/RefusalReason.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/RefusalReason.java
@@ -12,6 +12,8 @@
     STALE_CREDENTIALS(Outcome.NOT_RUN),
     /** The customer's rate is used up. */
     OVER_RATE(Outcome.RATE_LIMITED),
+    /** Whether the customer's rate is used up can't be learned now. */
+    RATE_UNKNOWN(Outcome.NOT_RUN),
     /** The shard key is missing or out of range. */
     NO_SHARD_KEY(Outcome.MALFORMED),
     /** There isn't room enough to answer in time. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipDuty.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipDuty.java
@@ -16,6 +16,7 @@
     /** For how long a lease holds, in milliseconds. */
     public static final long LEASE_MILLIS = 2_500;
 
+    private static final long CLOCK_MARGIN_MILLIS = 100;
     private static final long RENEW_EVERY_MILLIS = 700;
     private static final long RETRY_MILLIS = 300;
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
@@ -123,6 +124,20 @@
         return lease != 0 && now < confirmedAt + LEASE_MILLIS;
     }
 
+    /** Returns until when the lease surely holds, also where this clock runs a little slower than the store's. */
+    public long leaseHoldsUntil() {
+        return stopping ? Long.MIN_VALUE : confirmedAt + LEASE_MILLIS - CLOCK_MARGIN_MILLIS;
+    }
+
+    /** Returns whether this host may take on lending: it is registered and isn't about to leave. */
+    public boolean mayClaimSeats() {
+        return registered() && !stopping;
+    }
+
+    private boolean registered() {
+        return self.equals(members.get(self.host()));
+    }
+
     public Map<HostId, FleetMember> members() {
         return members;
     }
@@ -167,7 +182,7 @@
         if (stopping) {
             return;
         }
-        if (!self.equals(members.get(self.host()))) {
+        if (!registered()) {
             nextWrite = now + CALL_TIMEOUT_MILLIS;
             effects.add(new MembershipEffect.Register(lease, self));
         } else if (mayClaim(now)) {
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/FleetRates.java
@@ -0,0 +1,212 @@
+package org.dragonflymux.core.quota;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dragonflymux.core.desired.CustomerSpec;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
+
+/**
+ * A host's part in customers' rates: it borrows tokens for the requests that come to it, and lends those of the seats that
+ * it holds. Times are milliseconds of a clock that goes on while the machine is suspended.
+ */
+public final class FleetRates {
+
+    private static final long PATIENCE_MILLIS = 600;
+    private static final long TELL_EVERY_MILLIS = 100;
+
+    private final HostId self;
+    private final long incarnation;
+    private final TokenLender lender;
+    private final Map<CustomerName, TokenAccount> accounts = new HashMap<>();
+    private final Map<Integer, LenderSeat> seats = new HashMap<>();
+    private Map<CustomerName, CustomerSpec> customers = Map.of();
+    private List<HostId> relays = List.of();
+    private long lease;
+    private long lastSequence;
+    private long tellAt = Long.MIN_VALUE;
+    private List<RateMessage> outbox = new ArrayList<>();
+
+    private FleetRates(HostId self, long incarnation) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.lender = new TokenLender(self);
+    }
+
+    /** Returns the part of a host's life that knows nothing yet. */
+    public static FleetRates of(HostId self, long incarnation) {
+        return new FleetRates(self, incarnation);
+    }
+
+    /** Replaces the customers. */
+    public void customers(Collection<CustomerSpec> specs) {
+        Map<CustomerName, CustomerSpec> byName = new HashMap<>();
+        specs.forEach(spec -> byName.put(spec.name(), spec));
+        customers = byName;
+    }
+
+    /** Replaces the seats that are taken. */
+    public void seats(Collection<LenderSeat> taken, long now) {
+        seats.clear();
+        taken.forEach(seat -> seats.put(seat.number(), seat));
+        holds(now);
+    }
+
+    /** Replaces the hosts that may pass a question on. */
+    public void members(Collection<HostId> members) {
+        relays = members.stream().filter(host -> !host.equals(self)).sorted().toList();
+    }
+
+    /** Takes in until when this host's lease surely holds. */
+    public void lease(long present, long until, long now) {
+        lender.until(until);
+        if (present != lease) {
+            lease = present;
+            holds(now);
+        }
+    }
+
+    private void holds(long now) {
+        lender.holds(seats.values().stream().filter(this::mine).toList(), now);
+    }
+
+    private boolean mine(LenderSeat seat) {
+        return lease != 0
+                && seat.lease() == lease
+                && seat.holder().host().equals(self)
+                && seat.holder().incarnation() == incarnation;
+    }
+
+    /** Returns what is to be sent, once. */
+    public List<RateMessage> taken() {
+        List<RateMessage> result = outbox;
+        outbox = new ArrayList<>();
+        return result;
+    }
+
+    /** Takes a token out for a request, or has it wait for one; the result may concern other requests too. */
+    public List<RateDecision> take(CustomerName customer, long request, long now) {
+        TokenAccount account = accounts.computeIfAbsent(customer, TokenAccount::new);
+        account.arrived(now);
+        Optional<Token> token = account.takeStocked(now);
+        long dry = account.dryMillis(now);
+        List<RateDecision> result = new ArrayList<>();
+        if (token.isPresent()) {
+            result.add(new RateDecision.Admitted(request, token.get()));
+        } else if (dry > 0) {
+            result.add(new RateDecision.OverRate(request, dry));
+        } else {
+            account.park(request, now);
+        }
+        result.addAll(ask(account, now));
+        return result;
+    }
+
+    private List<RateDecision> ask(TokenAccount account, long now) {
+        LenderSeat seat = seats.get(LenderSeat.of(account.customer()));
+        if (seat == null) {
+            return List.of();
+        }
+        Optional<HostId> via = account.unanswered(now) ? relay(seat.holder().host()) : Optional.empty();
+        return account.due(++lastSequence, now)
+                .map(demand -> say(seat.holder().host(), via, List.of(demand), now))
+                .orElse(List.of());
+    }
+
+    private Optional<HostId> relay(HostId lenderHost) {
+        if (relays.isEmpty()) {
+            return Optional.empty();
+        }
+        HostId chosen = relays.get((int) (lastSequence % relays.size()));
+        return chosen.equals(lenderHost) ? Optional.empty() : Optional.of(chosen);
+    }
+
+    private List<RateDecision> say(HostId to, Optional<HostId> via, List<RateMessage.Demand> demands, long now) {
+        RateMessage.Ask ask = new RateMessage.Ask(self, incarnation, to, via, demands);
+        if (!to.equals(self)) {
+            outbox.add(ask);
+            return List.of();
+        }
+        return lender.asked(ask, this::spec, now).map(lend -> lent(lend, now)).orElse(List.of());
+    }
+
+    private Optional<CustomerSpec> spec(CustomerName customer) {
+        return Optional.ofNullable(customers.get(customer));
+    }
+
+    /** Takes in that a token was used. */
+    public void used(Token token) {
+        accounts.get(token.customer()).used(token);
+    }
+
+    /** Takes back a token that was not used and won't be. */
+    public void giveBack(Token token) {
+        accounts.get(token.customer()).giveBack(token.tenure(), 1);
+    }
+
+    /** Takes in that a request doesn't wait for a token any more. */
+    public void abandon(CustomerName customer, long request) {
+        Optional.ofNullable(accounts.get(customer)).ifPresent(account -> account.unpark(request));
+    }
+
+    /** Takes in a message; one for another host is passed on. */
+    public List<RateDecision> received(RateMessage message, long now) {
+        if (!message.to().equals(self)) {
+            if (message.via().filter(self::equals).isPresent()) {
+                outbox.add(message);
+            }
+            return List.of();
+        }
+        return switch (message) {
+            case RateMessage.Ask ask -> {
+                lender.asked(ask, this::spec, now).ifPresent(outbox::add);
+                yield List.of();
+            }
+            case RateMessage.Lend lend -> lent(lend, now);
+        };
+    }
+
+    private List<RateDecision> lent(RateMessage.Lend lend, long now) {
+        List<RateDecision> result = new ArrayList<>();
+        for (RateMessage.Loan loan : lend.loans()) {
+            TokenAccount account = accounts.get(loan.customer());
+            if (account != null) {
+                result.addAll(account.lent(loan, now));
+                result.addAll(ask(account, now));
+            }
+        }
+        return result;
+    }
+
+    /** Does what is due. */
+    public List<RateDecision> tick(long now) {
+        List<RateDecision> result = new ArrayList<>();
+        for (TokenAccount account : accounts.values()) {
+            result.addAll(account.overdue(PATIENCE_MILLIS, now));
+            result.addAll(ask(account, now));
+        }
+        if (now >= tellAt) {
+            tellAt = now + TELL_EVERY_MILLIS;
+            tell(now);
+        }
+        return result;
+    }
+
+    private void tell(long now) {
+        Map<HostId, List<RateMessage.Demand>> byLender = new HashMap<>();
+        for (TokenAccount account : accounts.values()) {
+            LenderSeat seat = seats.get(LenderSeat.of(account.customer()));
+            if (seat != null) {
+                account.untold(now)
+                        .ifPresent(
+                                demand -> byLender.computeIfAbsent(seat.holder().host(), _ -> new ArrayList<>())
+                                        .add(demand));
+            }
+        }
+        byLender.forEach((host, demands) -> say(host, Optional.empty(), demands, now));
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
@@ -0,0 +1,208 @@
+package org.dragonflymux.core.quota;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dragonflymux.core.name.CustomerName;
+
+/**
+ * One customer's tokens at a host that borrows them: those in stock, the requests that wait for one, and what became of the
+ * tokens of the lender's present tenure.
+ */
+final class TokenAccount {
+
+    /** For how long a token may be used, from when it was asked for. */
+    static final long USABLE_MILLIS = 400;
+
+    private static final long ASK_AGAIN_MILLIS = 80;
+    private static final long AHEAD_MILLIS = 200;
+    private static final long RATE_WINDOW_MILLIS = 1_000;
+    private static final long LONGEST_DRY_MILLIS = 100;
+    private static final long NOT_LENDER_PAUSE_MILLIS = 40;
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final CustomerName customer;
+    private final Deque<Batch> stock = new ArrayDeque<>();
+    private final Deque<Parked> parked = new ArrayDeque<>();
+    private final Map<Long, Asked> asked = new HashMap<>();
+    private long tenure;
+    private long used;
+    private long returned;
+    private long told;
+    private long lastAskAt = NEVER;
+    private long dryUntil = NEVER;
+    private long pausedUntil = NEVER;
+    private long noStockUntil = NEVER;
+    private long arrivedAt = NEVER;
+    private double perMilli;
+
+    private record Batch(int count, long tenure, long usableUntil) {}
+
+    private record Parked(long request, long since) {}
+
+    private record Asked(long at, int needed) {}
+
+    TokenAccount(CustomerName customer) {
+        this.customer = customer;
+    }
+
+    CustomerName customer() {
+        return customer;
+    }
+
+    /** Takes in a request, for the expected need. */
+    void arrived(long now) {
+        double keep = Math.max(0, 1 - (double) (now - arrivedAt) / RATE_WINDOW_MILLIS);
+        perMilli = perMilli * keep + 1.0 / RATE_WINDOW_MILLIS;
+        arrivedAt = now;
+    }
+
+    /** Takes a token out of the stock. */
+    Optional<Token> takeStocked(long now) {
+        dropOld(now);
+        Batch batch = stock.pollFirst();
+        if (batch == null) {
+            return Optional.empty();
+        }
+        if (batch.count() > 1) {
+            stock.addFirst(new Batch(batch.count() - 1, batch.tenure(), batch.usableUntil()));
+        }
+        return Optional.of(new Token(customer, batch.tenure()));
+    }
+
+    private void dropOld(long now) {
+        while (!stock.isEmpty() && stock.peekFirst().usableUntil() <= now) {
+            Batch old = stock.removeFirst();
+            giveBack(old.tenure(), old.count());
+        }
+        asked.values().removeIf(question -> question.at() + USABLE_MILLIS <= now);
+    }
+
+    private int stocked() {
+        return stock.stream().mapToInt(Batch::count).sum();
+    }
+
+    /** Returns for how long the lender has nothing, in milliseconds. */
+    long dryMillis(long now) {
+        return parked.isEmpty() ? Math.max(0, dryUntil - now) : 0;
+    }
+
+    /** Has a request wait for a token. */
+    void park(long request, long now) {
+        parked.addLast(new Parked(request, now));
+    }
+
+    /** Takes in that a request doesn't wait any more. */
+    void unpark(long request) {
+        parked.removeIf(each -> each.request() == request);
+    }
+
+    /** Takes in that a token was used. */
+    void used(Token token) {
+        if (token.tenure() == tenure) {
+            used++;
+        }
+    }
+
+    /** Takes in that tokens were not used and won't be. */
+    void giveBack(long ofTenure, long count) {
+        if (ofTenure == tenure) {
+            returned += count;
+        }
+    }
+
+    /** Returns what is to be asked now, if anything is needed and no answer is awaited. */
+    Optional<RateMessage.Demand> due(long sequence, long now) {
+        dropOld(now);
+        int ahead = (int) (perMilli * AHEAD_MILLIS);
+        boolean runsLow = 2 * stocked() < ahead && now >= noStockUntil && now < arrivedAt + AHEAD_MILLIS;
+        boolean awaits = !asked.isEmpty() && now < lastAskAt + ASK_AGAIN_MILLIS;
+        if (awaits || now < pausedUntil || parked.isEmpty() && !runsLow) {
+            return Optional.empty();
+        }
+        int needed = parked.size();
+        asked.put(sequence, new Asked(now, needed));
+        lastAskAt = now;
+        told = used + returned;
+        int wanted = Math.max(needed, needed + ahead - stocked());
+        return Optional.of(new RateMessage.Demand(customer, tenure, sequence, needed, wanted, used, returned));
+    }
+
+    /** Returns whether an answer is awaited for longer than usual. */
+    boolean unanswered(long now) {
+        return asked.values().stream().anyMatch(question -> now >= question.at() + ASK_AGAIN_MILLIS);
+    }
+
+    /** Returns what the lender hasn't been told yet, if anything. */
+    Optional<RateMessage.Demand> untold(long now) {
+        dropOld(now);
+        if (told == used + returned) {
+            return Optional.empty();
+        }
+        told = used + returned;
+        return Optional.of(new RateMessage.Demand(customer, tenure, 0, 0, 0, used, returned));
+    }
+
+    /** Takes in a loan, and returns what comes of it for the requests that wait. */
+    List<RateDecision> lent(RateMessage.Loan loan, long now) {
+        Asked question = asked.remove(loan.sequence());
+        if (loan.tenure() == 0) {
+            pausedUntil = now + NOT_LENDER_PAUSE_MILLIS;
+            return List.of();
+        }
+        if (question == null || now >= question.at() + USABLE_MILLIS) {
+            giveBack(loan.tenure(), loan.tokens());
+            return List.of();
+        }
+        tenure(loan.tenure());
+        if (loan.tokens() > 0) {
+            return share(loan.tokens(), question.at() + USABLE_MILLIS);
+        }
+        noStockUntil = now + LONGEST_DRY_MILLIS;
+        return question.needed() > 0 ? ranDry(loan, now) : List.of();
+    }
+
+    private void tenure(long present) {
+        if (present != tenure) {
+            tenure = present;
+            used = 0;
+            returned = 0;
+            told = 0;
+        }
+    }
+
+    private List<RateDecision> ranDry(RateMessage.Loan loan, long now) {
+        long next = Math.max(1, loan.nextMillis());
+        dryUntil = now + Math.min(LONGEST_DRY_MILLIS, next);
+        List<RateDecision> result = new ArrayList<>();
+        parked.forEach(each -> result.add(new RateDecision.OverRate(each.request(), next)));
+        parked.clear();
+        return result;
+    }
+
+    private List<RateDecision> share(int tokens, long usableUntil) {
+        List<RateDecision> result = new ArrayList<>();
+        int left = tokens;
+        while (left > 0 && !parked.isEmpty()) {
+            result.add(new RateDecision.Admitted(parked.removeFirst().request(), new Token(customer, tenure)));
+            left--;
+        }
+        if (left > 0) {
+            stock.addLast(new Batch(left, tenure, usableUntil));
+        }
+        return result;
+    }
+
+    /** Removes and returns the requests that have waited for a token for longer than a limit. */
+    List<RateDecision> overdue(long limitMillis, long now) {
+        List<RateDecision> result = new ArrayList<>();
+        while (!parked.isEmpty() && now >= parked.peekFirst().since() + limitMillis) {
+            result.add(new RateDecision.NoLender(parked.removeFirst().request()));
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenLender.java
@@ -0,0 +1,91 @@
+package org.dragonflymux.core.quota;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.dragonflymux.core.desired.CustomerSpec;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
+
+/**
+ * The lender of the tokens of the seats that a host holds. It lends for as long as its lease surely holds. A new tenure's
+ * buckets are empty and begin to fill only when no token of the tenure before can be used any more.
+ */
+final class TokenLender {
+
+    private static final long UNKNOWN_CUSTOMER_MILLIS = 100;
+
+    private final HostId self;
+    private final Map<Integer, Lending> lendings = new HashMap<>();
+    private long lendsUntil = Long.MIN_VALUE;
+
+    private record Lending(long tenure, long since, Map<CustomerName, CustomerLedger> ledgers) {}
+
+    TokenLender(HostId self) {
+        this.self = self;
+    }
+
+    /** Replaces the seats that this host holds. */
+    void holds(Collection<LenderSeat> seats, long now) {
+        Map<Integer, LenderSeat> held = new HashMap<>();
+        seats.forEach(seat -> held.put(seat.number(), seat));
+        lendings.entrySet().removeIf(entry -> {
+            LenderSeat seat = held.get(entry.getKey());
+            return seat == null || seat.tenure() != entry.getValue().tenure();
+        });
+        held.forEach((number, seat) ->
+                lendings.computeIfAbsent(number, _ -> new Lending(seat.tenure(), now, new HashMap<>())));
+    }
+
+    /** Takes in until when the lease surely holds. */
+    void until(long time) {
+        lendsUntil = time;
+    }
+
+    /**
+     * Answers a borrower.
+     *
+     * @param customers gives the limits in force here
+     * @return the answer, unless none is wanted
+     */
+    Optional<RateMessage.Lend> asked(
+            RateMessage.Ask ask, Function<CustomerName, Optional<CustomerSpec>> customers, long now) {
+        List<RateMessage.Loan> loans = new ArrayList<>();
+        for (RateMessage.Demand demand : ask.demands()) {
+            RateMessage.Loan loan = loan(ask, demand, customers.apply(demand.customer()), now);
+            if (demand.sequence() != 0) {
+                loans.add(loan);
+            }
+        }
+        return loans.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new RateMessage.Lend(self, ask.from(), ask.via(), loans));
+    }
+
+    private RateMessage.Loan loan(
+            RateMessage.Ask ask, RateMessage.Demand demand, Optional<CustomerSpec> spec, long now) {
+        CustomerName customer = demand.customer();
+        Lending lending = lendings.get(LenderSeat.of(customer));
+        if (lending == null || now >= lendsUntil) {
+            return new RateMessage.Loan(customer, 0, demand.sequence(), 0, 0);
+        }
+        if (spec.isEmpty()) {
+            return new RateMessage.Loan(customer, lending.tenure(), demand.sequence(), 0, UNKNOWN_CUSTOMER_MILLIS);
+        }
+        if (!spec.get().limited()) {
+            return new RateMessage.Loan(customer, lending.tenure(), demand.sequence(), demand.wanted(), 0);
+        }
+        CustomerLedger ledger = lending.ledgers()
+                .computeIfAbsent(customer, _ -> new CustomerLedger(lending.since() + TokenAccount.USABLE_MILLIS));
+        boolean sameTenure = demand.tenure() == lending.tenure();
+        ledger.settle(
+                ask.from(), ask.incarnation(), sameTenure ? demand.used() : 0, sameTenure ? demand.returned() : 0);
+        int tokens = ledger.lend(ask.from(), demand.needed(), demand.wanted(), spec.get(), now);
+        return new RateMessage.Loan(
+                customer, lending.tenure(), demand.sequence(), tokens, ledger.nextMillis(spec.get(), now));
+    }
+}
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -16,11 +16,14 @@
 import org.dragonflymux.core.desired.Route;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.desired.WeightedService;
+import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.quota.LenderSeat;
+import org.dragonflymux.core.quota.RateMessage;
 import org.dragonflymux.core.shard.Assignment;
 import org.dragonflymux.core.shard.KeyRange;
 import org.dragonflymux.core.shard.Move;
@@ -35,6 +38,7 @@
     private static final ServiceName SHARDED = ServiceName.of("sharded");
     private static final FailureDomain DOMAIN = FailureDomain.of("a");
     private static final long WITHDRAWAL_MILLIS = 5_000;
+    private static final long LEASE = 7;
 
     private final Gateway gateway =
             Gateway.of(new GatewaySettings(HostId.of("h"), 1, DOMAIN, WITHDRAWAL_MILLIS, 0.2, 50, 10_000), () -> 0L);
@@ -76,11 +80,22 @@
 
     @BeforeEach
     void twoPooledTargetsAndOneOwner() {
-        gateway.desiredState(state(1, customers(0)), 0);
+        gateway.desiredState(state(1, customers(0)));
         gateway.storeConfirmed(now);
+        gateway.leaseHolds(LEASE, Long.MAX_VALUE, now - 60_000);
+        gateway.lenders(seats("h"), now - 60_000);
         targets(3);
     }
 
+    private static List<LenderSeat> seats(String holder) {
+        FleetMember member = new FleetMember(HostId.of(holder), 1, DOMAIN, "127.0.0.1:2");
+        List<LenderSeat> result = new ArrayList<>();
+        for (int number = 0; number < LenderSeat.COUNT; number++) {
+            result.add(new LenderSeat(number, member, LEASE, 1));
+        }
+        return result;
+    }
+
     private void targets(int slots) {
         gateway.directory()
                 .replace(
@@ -159,8 +174,8 @@
 
         @Test
         void never_goes_back_to_an_older_desired_state() {
-            gateway.desiredState(state(5, Map.of()), 0);
-            gateway.desiredState(state(4, customers(0)), 0);
+            gateway.desiredState(state(5, Map.of()));
+            gateway.desiredState(state(4, customers(0)));
 
             assertThat(reason(arrive("/read/x"))).isEqualTo(RefusalReason.UNKNOWN_CREDENTIAL);
         }
@@ -185,8 +200,7 @@
         @Test
         void takes_another_hosts_word_that_its_desired_state_is_the_newest() {
             now += WITHDRAWAL_MILLIS;
-            gateway.reported(
-                    new PeerReport(HostId.of("other"), 1, 1, 200, List.of(), Map.of(), Map.of(), Map.of()), now);
+            gateway.reported(new PeerReport(HostId.of("other"), 1, 1, 200, List.of(), Map.of(), Map.of()), now);
 
             assertThat(gateway.ready(now)).isTrue();
         }
@@ -194,8 +208,7 @@
         @Test
         void does_not_take_the_word_of_a_host_that_knows_a_newer_state() {
             now += WITHDRAWAL_MILLIS;
-            gateway.reported(
-                    new PeerReport(HostId.of("other"), 1, 2, 200, List.of(), Map.of(), Map.of(), Map.of()), now);
+            gateway.reported(new PeerReport(HostId.of("other"), 1, 2, 200, List.of(), Map.of(), Map.of()), now);
 
             assertThat(gateway.ready(now)).isFalse();
         }
@@ -206,7 +219,7 @@
 
         @Test
         void a_customer_gets_its_rate_and_burst_in_a_window_and_no_more() {
-            gateway.desiredState(state(2, customers(10)), 0);
+            gateway.desiredState(state(2, customers(10)));
             targets(1_000);
             int admitted = 0;
             for (int millis = 0; millis < 5_000; millis += 10) {
@@ -221,25 +234,69 @@
         }
 
         @Test
-        void what_other_hosts_admit_counts() {
-            gateway.desiredState(state(2, customers(10)), 0);
+        void what_other_hosts_borrow_counts() {
+            gateway.desiredState(state(2, customers(10)));
+            List<GatewayEffect> lent = gateway.told(ask(10), now);
+
+            assertThat(lent)
+                    .singleElement()
+                    .isInstanceOfSatisfying(
+                            GatewayEffect.Tell.class,
+                            tell -> assertThat(((RateMessage.Lend) tell.message()).loans())
+                                    .singleElement()
+                                    .extracting(RateMessage.Loan::tokens)
+                                    .isEqualTo(10));
+            assertThat(reason(arrive("/read/x"))).isEqualTo(RefusalReason.OVER_RATE);
+        }
+
+        @Test
+        void a_token_of_a_request_that_was_never_sent_is_given_back() {
+            gateway.desiredState(state(2, customers(10)));
+            targets(0);
             arrive("/read/x");
-            for (long count : List.of(0L, 50L)) {
-                now += 100;
-                gateway.reported(
-                        new PeerReport(
-                                HostId.of("other"),
-                                1,
-                                2,
-                                0,
-                                List.of(),
-                                Map.of(CustomerName.of("c"), count),
-                                Map.of(),
-                                Map.of()),
-                        now);
-            }
+            gateway.abandoned(exchange, now);
 
-            assertThat(reason(arrive("/read/x"))).isEqualTo(RefusalReason.OVER_RATE);
+            assertThat(lentTo(ask(10))).isEqualTo(10);
+        }
+
+        @Test
+        void a_request_waits_for_the_answer_of_another_lender() {
+            gateway.desiredState(state(2, customers(10)));
+            gateway.lenders(seats("other"), now);
+            List<GatewayEffect> asked = arrive("/read/x");
+            RateMessage.Ask ask = (RateMessage.Ask) ((GatewayEffect.Tell) asked.getFirst()).message();
+            RateMessage.Loan loan = new RateMessage.Loan(
+                    CustomerName.of("c"), 1, ask.demands().getFirst().sequence(), 1, 0);
+
+            List<GatewayEffect> effects = gateway.told(
+                    new RateMessage.Lend(HostId.of("other"), HostId.of("h"), Optional.empty(), List.of(loan)), now);
+
+            assertThat(effects).hasAtLeastOneElementOfType(GatewayEffect.Send.class);
+        }
+
+        @Test
+        void a_request_is_refused_as_not_run_where_its_lender_stays_silent() {
+            gateway.desiredState(state(2, customers(10)));
+            gateway.lenders(seats("other"), now);
+            arrive("/read/x");
+            now += 600;
+
+            assertThat(reason(gateway.tick(now))).isEqualTo(RefusalReason.RATE_UNKNOWN);
+        }
+
+        private RateMessage.Ask ask(int tokens) {
+            return new RateMessage.Ask(
+                    HostId.of("other"),
+                    1,
+                    HostId.of("h"),
+                    Optional.empty(),
+                    List.of(new RateMessage.Demand(CustomerName.of("c"), 0, 1, tokens, tokens, 0, 0)));
+        }
+
+        private int lentTo(RateMessage.Ask ask) {
+            GatewayEffect.Tell tell =
+                    (GatewayEffect.Tell) gateway.told(ask, now).getFirst();
+            return ((RateMessage.Lend) tell.message()).loans().getFirst().tokens();
         }
     }
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RateFleet.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RateFleet.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,10 +19,13 @@
 import org.dragonflymux.core.desired.Route;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.desired.WeightedService;
+import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.quota.LenderElection;
+import org.dragonflymux.core.quota.LenderSeat;
 
 /**
  * Hosts on virtual time that share customers' rates, over a network that delays, loses and cuts, with a store that lists
@@ -31,9 +33,11 @@
  */
 final class RateFleet {
 
-    /** How long a registration outlives its host. */
-    static final long LEASE_MILLIS = 2_500;
+    private static final long LEASE_MILLIS = 2_500;
+    /** A host's clock may run a little slower than the store's. */
+    private static final long SAFE_LEASE_MILLIS = 2_400;
 
+    private static final long STORE_MILLIS = 20;
     private static final ServiceName SERVICE = ServiceName.of("s");
     private static final FailureDomain DOMAIN = FailureDomain.of("a");
     private static final long REPORT_MILLIS = 100;
@@ -43,10 +47,15 @@
 
     private final SplittableRandom random;
     private final List<Host> hosts = new ArrayList<>();
-    private final PriorityQueue<Delivery> network = new PriorityQueue<>(
-            Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::number));
+    private final PriorityQueue<Delivery> network =
+            new PriorityQueue<>(Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::number));
     private final Map<String, List<Long>> admittedAt = new HashMap<>();
     private final Map<String, Integer> refused = new HashMap<>();
+    private final Map<Long, String> customerOf = new HashMap<>();
+    private final Map<Long, Long> leases = new HashMap<>();
+    private final Map<HostId, FleetMember> registered = new HashMap<>();
+    private final Map<HostId, Long> registeredLease = new HashMap<>();
+    private final Map<Integer, LenderSeat> seats = new HashMap<>();
     private Map<String, CustomerSpec> customers;
     private BiPredicate<Integer, Integer> cut = (_, _) -> false;
     private BiPredicate<Integer, Long> cutFromStore = (_, _) -> false;
@@ -55,6 +64,9 @@
     private long now;
     private long sent;
     private long exchanges;
+    private long revision;
+    private long lastLease;
+    private long messages;
 
     private record Delivery(long at, long number, int to, Runnable action) {}
 
@@ -66,7 +78,8 @@
         private long upSince;
         private long silentUntil;
         private long pausedUntil;
-        private long registeredUntil;
+        private long lease;
+        private LenderElection election;
         private final List<Runnable> inbox = new ArrayList<>();
 
         Host(int number) {
@@ -84,6 +97,8 @@
         void start() {
             incarnation++;
             inbox.clear();
+            lease = 0;
+            election = LenderElection.of(member());
             gateway = Gateway.of(
                     new GatewaySettings(id(), incarnation, DOMAIN, NEVER, 0.2, 50, 10_000),
                     new SplittableRandom(random.nextLong()));
@@ -95,9 +110,13 @@
             learn(state);
         }
 
+        FleetMember member() {
+            return new FleetMember(id(), incarnation, DOMAIN, "127.0.0.1:" + number);
+        }
+
         void learn(DesiredState newer) {
             state = newer;
-            gateway.desiredState(newer, now);
+            gateway.desiredState(newer);
         }
     }
 
@@ -189,12 +208,13 @@
         if (now < at.upSince) {
             return;
         }
+        long exchange = ++exchanges;
+        customerOf.put(exchange, customer);
         Runnable arrival = () -> run(
                 at,
-                customer,
                 at.gateway.arrived(
                         new ArrivedRequest(
-                                ++exchanges,
+                                exchange,
                                 "id",
                                 "host",
                                 "/x",
@@ -209,15 +229,20 @@
         }
     }
 
-    private void run(Host host, String customer, List<GatewayEffect> effects) {
+    private void run(Host host, List<GatewayEffect> effects) {
         for (GatewayEffect effect : effects) {
             switch (effect) {
                 case GatewayEffect.Send send -> {
-                    admittedAt.computeIfAbsent(customer, _ -> new ArrayList<>()).add(now);
-                    host.gateway.ended(
-                            send.attempt(), new AttemptResult.Answered(AttemptResult.Grade.SUCCESS), now);
+                    admittedAt
+                            .computeIfAbsent(customerOf.get(send.exchange()), _ -> new ArrayList<>())
+                            .add(now);
+                    run(
+                            host,
+                            host.gateway.ended(
+                                    send.attempt(), new AttemptResult.Answered(AttemptResult.Grade.SUCCESS), now));
                 }
-                case GatewayEffect.Refuse _ -> refused.merge(customer, 1, Integer::sum);
+                case GatewayEffect.Refuse refusal -> refused.merge(customerOf.get(refusal.exchange()), 1, Integer::sum);
+                case GatewayEffect.Tell tell -> tell(host, tell);
                 case GatewayEffect.Cancel _, GatewayEffect.Deliver _ -> {}
             }
         }
@@ -253,39 +278,73 @@
         List<Runnable> late = List.copyOf(host.inbox);
         host.inbox.clear();
         late.forEach(Runnable::run);
+        boolean silent = now < host.silentUntil;
         if (now % TICK_MILLIS == host.number % TICK_MILLIS) {
-            host.gateway.tick(now);
+            run(host, host.gateway.tick(now));
         }
-        if (!cutFromStore.test(host.number, now)) {
-            host.gateway.storeConfirmed(now);
-            host.registeredUntil = now + LEASE_MILLIS;
-            host.gateway.hosts(registered());
+        if (now % STORE_MILLIS == host.number % STORE_MILLIS && !silent && !cutFromStore.test(host.number, now)) {
+            callStore(host);
         }
-        if (now % REPORT_MILLIS == host.number % REPORT_MILLIS && now >= host.silentUntil) {
+        if (now % REPORT_MILLIS == host.number % REPORT_MILLIS && !silent) {
             report(host);
         }
     }
 
-    private Set<HostId> registered() {
-        Set<HostId> result = new HashSet<>();
-        for (Host host : hosts) {
-            if (now < host.registeredUntil) {
-                result.add(host.id());
+    private void callStore(Host host) {
+        expireLeases();
+        if (!leases.containsKey(host.lease)) {
+            host.lease = ++lastLease;
+            registered.put(host.id(), host.member());
+            registeredLease.put(host.id(), host.lease);
+        }
+        leases.put(host.lease, now + LEASE_MILLIS);
+        host.election.seats(List.copyOf(seats.values()));
+        for (LenderElection.Claim claim : host.election.due(Map.copyOf(registered), host.lease, now)) {
+            LenderSeat present = seats.get(claim.number());
+            if ((present == null ? 0 : present.tenure()) == claim.expectedRevision()) {
+                seats.put(claim.number(), new LenderSeat(claim.number(), host.member(), host.lease, ++revision));
             }
         }
-        return result;
+        host.election.claimEnded(now);
+        host.gateway.storeConfirmed(now);
+        host.gateway.hosts(Set.copyOf(registered.keySet()));
+        host.gateway.lenders(List.copyOf(seats.values()), now);
+        host.gateway.leaseHolds(host.lease, now + SAFE_LEASE_MILLIS, now);
+    }
+
+    private void expireLeases() {
+        leases.values().removeIf(until -> until <= now);
+        seats.values().removeIf(seat -> !leases.containsKey(seat.lease()));
+        registeredLease.values().removeIf(lease -> !leases.containsKey(lease));
+        registered.keySet().retainAll(registeredLease.keySet());
+    }
+
+    private boolean lost(Host from, Host to) {
+        return now < from.silentUntil || cut.test(from.number, to.number) || random.nextDouble() < lossRatio;
     }
 
     private void report(Host from) {
         PeerReport report = from.gateway.report(now);
         for (Host to : hosts) {
-            boolean lost = cut.test(from.number, to.number) || random.nextDouble() < lossRatio;
-            if (to != from && !lost) {
-                deliver(to.number, 1 + random.nextLong(3), () -> to.gateway.reported(report, now));
+            if (to != from && !lost(from, to)) {
+                deliver(to.number, 1 + random.nextLong(3), () -> run(to, to.gateway.reported(report, now)));
             }
         }
     }
 
+    private void tell(Host from, GatewayEffect.Tell tell) {
+        messages++;
+        Host to = hosts.get(Integer.parseInt(tell.to().value().substring(1)));
+        if (!lost(from, to)) {
+            deliver(to.number, 1 + random.nextLong(3), () -> run(to, to.gateway.told(tell.message(), now)));
+        }
+    }
+
+    /** Returns how many messages about rates were sent. */
+    long messages() {
+        return messages;
+    }
+
     /** Returns how many requests of a customer were refused. */
     int refused(String customer) {
         return refused.getOrDefault(customer, 0);
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/WaitingRequestsTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/WaitingRequestsTest.java
@@ -37,7 +37,7 @@
     private final WaitingRequests waiting = new WaitingRequests(
             directory,
             TargetChoice.of(directory, ColdPacer.of(() -> 1), DOMAIN, () -> 0L),
-            new FleetView(HostId.of("h"), directory, new FleetQuota()));
+            new FleetView(HostId.of("h"), directory));
     private long last;
 
     private static TargetEntry target(String id, ServiceName service) {
--- /dev/null
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/CustomerLedgerTest.java
@@ -0,0 +1,119 @@
+package org.dragonflymux.core.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.OptionalInt;
+import org.dragonflymux.core.desired.CustomerSpec;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CustomerLedgerTest {
+
+    private static final HostId HOST = HostId.of("h");
+    private static final HostId OTHER = HostId.of("other");
+    private static final long FULL = 60_000;
+
+    private final CustomerSpec customer = spec(100, 100);
+    private final CustomerLedger ledger = new CustomerLedger(0);
+
+    private static CustomerSpec spec(double rate, double burst) {
+        return new CustomerSpec(CustomerName.of("c"), OptionalInt.empty(), rate, burst);
+    }
+
+    private int lend(HostId host, int tokens, long now) {
+        return ledger.lend(host, tokens, tokens, customer, now);
+    }
+
+    @Test
+    void a_new_bucket_is_empty_until_it_begins_to_fill() {
+        CustomerLedger later = new CustomerLedger(1_000);
+
+        assertThat(later.lend(HOST, 10, 10, customer, 1_000)).isZero();
+        assertThat(later.lend(HOST, 10, 10, customer, 1_050)).isEqualTo(5);
+    }
+
+    @Test
+    void the_whole_burst_may_be_lent_at_once_and_no_more() {
+        assertThat(lend(HOST, 1_000, FULL)).isEqualTo(100);
+        assertThat(lend(OTHER, 1, FULL)).isZero();
+        assertThat(ledger.nextMillis(customer, FULL)).isEqualTo(10);
+    }
+
+    @Test
+    void tokens_ahead_of_need_come_out_of_the_fuller_half() {
+        assertThat(ledger.lend(HOST, 0, 80, customer, FULL)).isEqualTo(50);
+        assertThat(ledger.lend(OTHER, 0, 1, customer, FULL)).isZero();
+        assertThat(ledger.lend(OTHER, 1, 1, customer, FULL)).isEqualTo(1);
+    }
+
+    @Test
+    void a_lowered_limit_holds_at_once() {
+        assertThat(ledger.lend(HOST, 1_000, 1_000, customer, FULL)).isEqualTo(100);
+        ledger.settle(HOST, 0, 0, 100);
+
+        assertThat(ledger.lend(HOST, 1_000, 1_000, spec(10, 10), FULL)).isEqualTo(10);
+    }
+
+    @Nested
+    class Outstanding {
+
+        @Test
+        void tokens_take_room_in_the_bucket_until_they_are_settled() {
+            lend(HOST, 100, FULL);
+
+            assertThat(lend(OTHER, 1_000, FULL + 1_900)).isZero();
+            ledger.settle(HOST, 0, 40, 0);
+            assertThat(lend(OTHER, 1_000, FULL + 1_900)).isZero();
+            assertThat(lend(OTHER, 1_000, FULL + 1_990)).isEqualTo(9);
+        }
+
+        @Test
+        void tokens_given_back_can_be_lent_again() {
+            lend(HOST, 100, FULL);
+            ledger.settle(HOST, 0, 0, 30);
+
+            assertThat(lend(OTHER, 1_000, FULL)).isEqualTo(30);
+        }
+
+        @Test
+        void tokens_are_given_back_once_though_their_host_says_it_twice() {
+            lend(HOST, 100, FULL);
+            ledger.settle(HOST, 0, 0, 30);
+            ledger.settle(HOST, 0, 0, 30);
+            ledger.settle(HOST, 0, 0, 10);
+
+            assertThat(lend(OTHER, 1_000, FULL)).isEqualTo(30);
+        }
+
+        @Test
+        void more_than_was_lent_is_not_taken_back() {
+            lend(HOST, 10, FULL);
+            lend(OTHER, 90, FULL);
+            ledger.settle(HOST, 0, 0, 50);
+
+            assertThat(lend(OTHER, 1_000, FULL)).isEqualTo(10);
+        }
+
+        @Test
+        void tokens_of_which_nothing_is_heard_count_as_used() {
+            lend(HOST, 100, FULL);
+
+            assertThat(lend(OTHER, 1_000, FULL + 2_001)).isPositive().isLessThanOrEqualTo(100);
+            ledger.settle(HOST, 0, 0, 100);
+            assertThat(lend(OTHER, 1_000, FULL + 2_001)).isZero();
+        }
+
+        @Test
+        void tokens_of_an_earlier_life_count_as_used() {
+            ledger.settle(HOST, 1, 0, 0);
+            lend(HOST, 100, FULL);
+            ledger.settle(HOST, 2, 0, 0);
+            ledger.settle(HOST, 1, 0, 100);
+
+            assertThat(lend(OTHER, 1_000, FULL)).isZero();
+            assertThat(lend(OTHER, 1_000, FULL + 500)).isEqualTo(50);
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/FleetRatesTest.java
@@ -0,0 +1,195 @@
+package org.dragonflymux.core.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.dragonflymux.core.desired.CustomerSpec;
+import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FleetRatesTest {
+
+    private static final HostId LENDER = HostId.of("lender");
+    private static final HostId BORROWER = HostId.of("borrower");
+    private static final HostId THIRD = HostId.of("third");
+    private static final CustomerName CUSTOMER = CustomerName.of("c");
+    private static final long LEASE = 3;
+    private static final long START = 100_000;
+
+    private final FleetRates lender = FleetRates.of(LENDER, 1);
+    private final FleetRates borrower = FleetRates.of(BORROWER, 1);
+    private long now = START;
+    private long request;
+
+    private static List<LenderSeat> seats(long tenure) {
+        FleetMember holder = new FleetMember(LENDER, 1, FailureDomain.of("a"), "127.0.0.1:1");
+        List<LenderSeat> result = new ArrayList<>();
+        for (int number = 0; number < LenderSeat.COUNT; number++) {
+            result.add(new LenderSeat(number, holder, LEASE, tenure));
+        }
+        return result;
+    }
+
+    @BeforeEach
+    void aLenderWithAFullBucket() {
+        lender.customers(List.of(new CustomerSpec(CUSTOMER, OptionalInt.empty(), 10, 10)));
+        lender.lease(LEASE, Long.MAX_VALUE, 0);
+        lender.seats(seats(1), 0);
+        borrower.seats(seats(1), 0);
+        borrower.members(List.of(LENDER, BORROWER, THIRD));
+    }
+
+    /** Carries all messages until there are none, and returns what came of the borrower's requests. */
+    private List<RateDecision> carry() {
+        List<RateDecision> result = new ArrayList<>();
+        List<RateMessage> asked = borrower.taken();
+        while (!asked.isEmpty()) {
+            asked.forEach(message -> lender.received(message, now));
+            lender.taken().forEach(message -> result.addAll(borrower.received(message, now)));
+            asked = borrower.taken();
+        }
+        return result;
+    }
+
+    private List<RateDecision> take() {
+        List<RateDecision> result = new ArrayList<>(borrower.take(CUSTOMER, ++request, now));
+        result.addAll(carry());
+        return result;
+    }
+
+    private Token admitted() {
+        return ((RateDecision.Admitted) take().getFirst()).token();
+    }
+
+    @Test
+    void a_request_gets_its_token_from_the_lender() {
+        assertThat(take()).singleElement().isInstanceOf(RateDecision.Admitted.class);
+    }
+
+    @Test
+    void the_lender_itself_needs_no_message() {
+        assertThat(lender.take(CUSTOMER, 1, now)).singleElement().isInstanceOf(RateDecision.Admitted.class);
+        assertThat(lender.taken()).isEmpty();
+    }
+
+    @Test
+    void beyond_the_burst_requests_are_refused_until_the_next_token() {
+        for (int i = 0; i < 10; i++) {
+            borrower.used(admitted());
+        }
+
+        assertThat(take())
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        RateDecision.OverRate.class,
+                        over -> assertThat(over.nextMillis()).isBetween(1L, 100L));
+    }
+
+    @Test
+    void tokens_given_back_can_be_used_again() {
+        for (int i = 0; i < 10; i++) {
+            borrower.giveBack(admitted());
+        }
+
+        assertThat(take()).first().isInstanceOf(RateDecision.Admitted.class);
+    }
+
+    @Test
+    void a_customer_that_the_lender_does_not_limit_gets_what_it_asks_for() {
+        lender.customers(List.of(new CustomerSpec(CUSTOMER, OptionalInt.empty(), 0, 0)));
+        for (int i = 0; i < 1_000; i++) {
+            borrower.used(admitted());
+        }
+    }
+
+    @Nested
+    class Faults {
+
+        @Test
+        void a_lender_whose_lease_may_have_ended_lends_nothing() {
+            lender.lease(LEASE, now, now);
+            borrower.take(CUSTOMER, 1, now);
+
+            assertThat(carry()).isEmpty();
+        }
+
+        @Test
+        void a_new_tenure_lends_only_when_no_token_of_the_one_before_can_be_used() {
+            lender.seats(seats(2), now);
+            now += TokenAccount.USABLE_MILLIS;
+            assertThat(take()).first().isInstanceOf(RateDecision.OverRate.class);
+
+            now += 100;
+            assertThat(take()).first().isInstanceOf(RateDecision.Admitted.class);
+        }
+
+        @Test
+        void a_token_that_came_too_late_is_not_used_but_given_back() {
+            borrower.take(CUSTOMER, 1, now);
+            List<RateMessage> asked = borrower.taken();
+            asked.forEach(message -> lender.received(message, now));
+            List<RateMessage> lent = lender.taken();
+            now += TokenAccount.USABLE_MILLIS;
+
+            lent.forEach(message -> assertThat(borrower.received(message, now)).isEmpty());
+        }
+
+        @Test
+        void an_unanswered_question_is_asked_again_through_a_third_host() {
+            borrower.take(CUSTOMER, 1, now);
+            borrower.taken();
+            List<RateMessage> again = new ArrayList<>();
+            for (int i = 0;
+                    i < 10 && again.stream().noneMatch(message -> message.via().isPresent());
+                    i++) {
+                now += 80;
+                borrower.tick(now);
+                again.addAll(borrower.taken());
+            }
+            RateMessage detour = again.stream()
+                    .filter(message -> message.via().isPresent())
+                    .findFirst()
+                    .orElseThrow();
+            FleetRates third = FleetRates.of(THIRD, 1);
+            third.received(detour, now);
+
+            assertThat(detour.via()).contains(THIRD);
+            assertThat(third.taken()).containsExactly(detour);
+            lender.received(detour, now);
+            RateMessage answer = lender.taken().getFirst();
+            assertThat(answer.via()).contains(THIRD);
+            assertThat(borrower.received(answer, now)).first().isInstanceOf(RateDecision.Admitted.class);
+        }
+
+        @Test
+        void requests_do_not_wait_for_ever_for_a_silent_lender() {
+            borrower.take(CUSTOMER, 1, now);
+            now += 600;
+
+            assertThat(borrower.tick(now)).containsExactly(new RateDecision.NoLender(1));
+        }
+
+        @Test
+        void a_request_that_left_gets_no_token() {
+            borrower.take(CUSTOMER, 1, now);
+            borrower.abandon(CUSTOMER, 1);
+
+            assertThat(carry()).isEmpty();
+        }
+
+        @Test
+        void a_message_for_another_host_is_dropped_unless_it_is_to_be_passed_on() {
+            borrower.received(new RateMessage.Lend(LENDER, THIRD, Optional.empty(), List.of()), now);
+
+            assertThat(borrower.taken()).isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LenderElectionTest.java
@@ -0,0 +1,107 @@
+package org.dragonflymux.core.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.junit.jupiter.api.Test;
+
+class LenderElectionTest {
+
+    private static final long LEASE = 5;
+
+    private static FleetMember member(String host, long incarnation) {
+        return new FleetMember(HostId.of(host), incarnation, FailureDomain.of("a"), "127.0.0.1:1");
+    }
+
+    private static Map<HostId, FleetMember> members(FleetMember... members) {
+        Map<HostId, FleetMember> result = new HashMap<>();
+        for (FleetMember member : members) {
+            result.put(member.host(), member);
+        }
+        return result;
+    }
+
+    private static List<LenderSeat> allHeldBy(FleetMember holder, long lease) {
+        List<LenderSeat> result = new ArrayList<>();
+        for (int number = 0; number < LenderSeat.COUNT; number++) {
+            result.add(new LenderSeat(number, holder, lease, 40 + number));
+        }
+        return result;
+    }
+
+    @Test
+    void a_host_alone_takes_all_seats_that_are_free() {
+        LenderElection election = LenderElection.of(member("h", 1));
+
+        List<LenderElection.Claim> claims = election.due(members(member("h", 1)), LEASE, 0);
+
+        assertThat(claims).hasSize(LenderSeat.COUNT).allMatch(claim -> claim.expectedRevision() == 0);
+    }
+
+    @Test
+    void each_free_seat_has_one_host_that_goes_first() {
+        FleetMember[] all = {member("a", 1), member("b", 1), member("c", 1), member("d", 1)};
+        Set<Integer> claimed = new HashSet<>();
+        int total = 0;
+        for (FleetMember self : all) {
+            List<LenderElection.Claim> claims = LenderElection.of(self).due(members(all), LEASE, 0);
+            claims.forEach(claim -> claimed.add(claim.number()));
+            total += claims.size();
+        }
+
+        assertThat(claimed).hasSize(LenderSeat.COUNT);
+        assertThat(total).isEqualTo(LenderSeat.COUNT);
+    }
+
+    @Test
+    void others_follow_where_the_first_does_not_come() {
+        LenderElection election = LenderElection.of(member("a", 1));
+        Map<HostId, FleetMember> members = members(member("a", 1), member("b", 1));
+        election.due(members, LEASE, 0);
+        election.claimEnded(0);
+
+        assertThat(election.due(members, LEASE, 200)).hasSize(LenderSeat.COUNT);
+    }
+
+    @Test
+    void a_seat_that_is_held_is_left_alone() {
+        LenderElection election = LenderElection.of(member("a", 1));
+        election.seats(allHeldBy(member("b", 1), 9));
+
+        assertThat(election.due(members(member("a", 1), member("b", 1)), LEASE, 0))
+                .isEmpty();
+        assertThat(election.due(members(member("a", 1)), LEASE, 60_000)).isEmpty();
+    }
+
+    @Test
+    void a_seat_whose_holder_has_ended_is_free_under_its_revision() {
+        LenderElection election = LenderElection.of(member("a", 1));
+        election.seats(allHeldBy(member("b", 1), 9));
+        Map<HostId, FleetMember> members = members(member("a", 1), member("b", 2));
+        election.due(members, LEASE, 0);
+        election.claimEnded(0);
+
+        List<LenderElection.Claim> claims = election.due(members, LEASE, 200);
+
+        assertThat(claims).hasSize(LenderSeat.COUNT).allMatch(claim -> claim.expectedRevision() == 40 + claim.number());
+    }
+
+    @Test
+    void an_own_seat_that_is_bound_to_an_earlier_lease_is_taken_anew() {
+        LenderElection election = LenderElection.of(member("a", 1));
+        election.seats(allHeldBy(member("a", 1), LEASE - 1));
+
+        assertThat(election.due(members(member("a", 1)), LEASE, 0)).hasSize(LenderSeat.COUNT);
+        election.seats(allHeldBy(member("a", 1), LEASE));
+        election.claimEnded(0);
+        assertThat(election.due(members(member("a", 1)), LEASE, 1_000)).isEmpty();
+    }
+}
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -7,7 +7,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -32,6 +31,8 @@
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.quota.LenderSeat;
+import org.dragonflymux.core.quota.RateMessage;
 import org.dragonflymux.core.shard.ShardTable;
 import org.dragonflymux.gateway.caller.CallerServer;
 import org.dragonflymux.gateway.control.ControlLoop;
@@ -74,7 +75,7 @@
     private final FeedChoice feed;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Set<String> unreadable = new HashSet<>();
-    private Collection<InetSocketAddress> peers = List.of();
+    private Map<HostId, InetSocketAddress> addresses = Map.of();
     private PeerSocket peerSocket;
     private StoreMirror mirror;
     private boolean stopping;
@@ -146,7 +147,8 @@
     }
 
     private void listen() {
-        peerSocket = PeerSocket.open(loop, options.peers(), this::peerReported);
+        peerSocket = PeerSocket.open(loop, options.peers(), this::peerReported, requests::told);
+        requests.tells(this::tell);
         ReadinessServer.listen(loop, options.readiness(), () -> !stopping && gateway.ready(requestTime()));
         callers.listen(options.callers());
         mirror = StoreMirror.start(
@@ -210,7 +212,14 @@
     private void report() {
         PeerReport report = gateway.report(requestTime());
         control.requested(report.keys());
-        peerSocket.send(report, peers);
+        peerSocket.send(report, addresses.values());
+    }
+
+    private void tell(HostId to, RateMessage message) {
+        InetSocketAddress address = addresses.get(to);
+        if (address != null) {
+            peerSocket.send(message, address);
+        }
     }
 
     private void peerReported(PeerReport report) {
@@ -262,7 +271,7 @@
         private void desired(DesiredState state) {
             if (gateway.desired().map(DesiredState::version).orElse(-1L) < state.version()) {
                 LOG.info("event=desired_state version={}", state.version());
-                gateway.desiredState(state, requestTime());
+                gateway.desiredState(state);
                 control.desired(state);
             }
         }
@@ -301,10 +310,23 @@
         @Override
         public void hosts(Map<HostId, FleetMember> members) {
             gateway.hosts(members.keySet());
-            peers = members.values().stream()
-                    .filter(member -> !member.host().equals(options.self().host()))
-                    .map(member -> SocketAddresses.parse(member.peerAddress()))
-                    .toList();
+            Map<HostId, InetSocketAddress> others = new HashMap<>();
+            for (FleetMember member : members.values()) {
+                if (!member.host().equals(options.self().host())) {
+                    others.put(member.host(), SocketAddresses.parse(member.peerAddress()));
+                }
+            }
+            addresses = others;
+        }
+
+        @Override
+        public void lenders(Collection<LenderSeat> seats) {
+            gateway.lenders(seats, requestTime());
+        }
+
+        @Override
+        public void leaseHolds(long lease, long until) {
+            gateway.leaseHolds(lease, until, requestTime());
         }
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.BiConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.dragonflymux.core.gateway.ArrivedRequest;
 import org.dragonflymux.core.gateway.AttemptResult;
@@ -23,6 +24,8 @@
 import org.dragonflymux.core.gateway.GatewayEffect;
 import org.dragonflymux.core.gateway.RefusalReason;
 import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.quota.RateMessage;
 import org.dragonflymux.gateway.caller.CallerHandler;
 import org.dragonflymux.gateway.caller.CallerReply;
 import org.dragonflymux.gateway.http.Call;
@@ -52,6 +55,7 @@
     private long maxLoopMillis = Long.MAX_VALUE / 4;
     private long sleptMillis;
     private FullHttpResponse presentAnswer;
+    private BiConsumer<HostId, RateMessage> teller = (_, _) -> {};
 
     private record Waiting(FullHttpRequest request, CallerReply reply, String requestId, long since) {}
 
@@ -63,6 +67,17 @@
         this.clock = clock;
     }
 
+    /** Sets who sends messages to other hosts. */
+    void tells(BiConsumer<HostId, RateMessage> messenger) {
+        teller = messenger;
+    }
+
+    /** Takes in what another host says about rates. */
+    void told(RateMessage message) {
+        noteSuspension();
+        run(gateway.told(message, clock.monotonicMillis()));
+    }
+
     private void noteSuspension() {
         long slept = clock.sleptMillis();
         if (slept > sleptMillis) {
@@ -133,6 +148,7 @@
                 }
                 case GatewayEffect.Deliver deliver -> deliver(deliver);
                 case GatewayEffect.Refuse refuse -> refuse(refuse);
+                case GatewayEffect.Tell tell -> teller.accept(tell.to(), tell.message());
             }
         }
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.gateway.control;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +19,8 @@
 import org.dragonflymux.core.membership.MembershipEffect;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.quota.LenderElection;
+import org.dragonflymux.core.quota.LenderSeat;
 import org.dragonflymux.core.shard.GrantDuty;
 import org.dragonflymux.core.shard.GrantEffect;
 import org.dragonflymux.core.shard.GrantResult;
@@ -36,6 +39,7 @@
     private final StoreClient store;
     private final GrantClient grantClient;
     private final MembershipDuty membership;
+    private final LenderElection lenders;
     private final GrantSettings settings;
     private final TargetDirectory directory;
     private final LongSupplier clock;
@@ -53,6 +57,12 @@
 
         /** Takes in which hosts there are. */
         void hosts(Map<HostId, FleetMember> members);
+
+        /** Takes in which hosts lend customers' tokens. */
+        void lenders(Collection<LenderSeat> seats);
+
+        /** Takes in until when this host's lease surely holds. */
+        void leaseHolds(long lease, long until);
     }
 
     private ControlLoop(
@@ -66,6 +76,7 @@
         this.store = store;
         this.grantClient = grantClient;
         this.membership = membership;
+        this.lenders = LenderElection.of(membership.self());
         this.settings = settings;
         this.directory = directory;
         this.clock = clock;
@@ -108,6 +119,7 @@
         Set<HostId> present = new HashSet<>();
         Optional<StoredItem> grantor = Optional.empty();
         Optional<FleetMember> lastGrantor = Optional.empty();
+        List<LenderSeat> seats = new ArrayList<>();
         for (StoredItem item : items.values()) {
             if (item.key().startsWith(FleetRecords.HOSTS)) {
                 FleetRecords.member(item.value()).ifPresent(member -> {
@@ -118,6 +130,8 @@
                 grantor = Optional.of(item);
             } else if (item.key().equals(FleetRecords.LAST_GRANTOR)) {
                 lastGrantor = FleetRecords.member(item.value());
+            } else if (item.key().startsWith(FleetRecords.SEATS)) {
+                FleetRecords.seat(item).ifPresent(seats::add);
             } else if (item.key().startsWith(FleetRecords.TABLES)) {
                 table(item);
             }
@@ -133,7 +147,9 @@
                 grantor.map(StoredItem::revision).orElse(0L),
                 now);
         membership.synced(now);
+        lenders.seats(seats);
         observer.hosts(membership.members());
+        observer.lenders(seats);
     }
 
     private void table(StoredItem item) {
@@ -177,6 +193,10 @@
             run(effect, now);
         }
         boolean confirmed = membership.leaseConfirmed(now);
+        observer.leaseHolds(membership.lease(), membership.leaseHoldsUntil());
+        if (confirmed && membership.mayClaimSeats()) {
+            claimSeats(now);
+        }
         for (GrantDuty duty : duties.values()) {
             run(duty, duty.tick(confirmed, now));
         }
@@ -222,6 +242,25 @@
         }
     }
 
+    private void claimSeats(long now) {
+        List<LenderElection.Claim> claims = lenders.due(membership.members(), membership.lease(), now);
+        if (claims.isEmpty()) {
+            return;
+        }
+        byte[] record = FleetRecords.encodeSeat(membership.self(), membership.lease());
+        List<StoreClient.Expected> expected = new ArrayList<>();
+        List<StoreClient.Put> puts = new ArrayList<>();
+        for (LenderElection.Claim claim : claims) {
+            String key = FleetRecords.seatKey(claim.number());
+            expected.add(new StoreClient.Expected(key, claim.expectedRevision()));
+            puts.add(new StoreClient.Put(key, record, membership.lease()));
+        }
+        store.commit(expected, puts, result -> {
+            LOG.info("event=lender_seats_claimed seats={} result={}", claims.size(), result);
+            lenders.claimEnded(clock.getAsLong());
+        });
+    }
+
     private void write(List<StoreClient.Expected> expected, List<StoreClient.Put> puts) {
         store.commit(expected, puts, result -> {
             if (result.isLeft() && result.getLeft() == StoreError.LEASE_ENDED) {
@@ -303,6 +342,7 @@
     /** Gives the grants and the lease back, so that another host takes over at once. */
     public void stop() {
         membership.stopping();
+        observer.leaseHolds(membership.lease(), membership.leaseHoldsUntil());
         duties.values().forEach(GrantDuty::stopLeading);
         leading = false;
         if (membership.lease() != 0) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
@@ -3,12 +3,15 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.Optional;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.quota.LenderSeat;
+import org.dragonflymux.gateway.store.StoredItem;
 
 /** The system's own records in the store: their keys, and hosts' records as JSON. */
 public final class FleetRecords {
@@ -28,6 +31,9 @@
     /** The prefix of tables of shard keys. */
     public static final String TABLES = PREFIX + "tables/";
 
+    /** The prefix of the seats of customers' lenders, each bound to its holder's lease. */
+    public static final String SEATS = PREFIX + "lenders/";
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private FleetRecords() {}
@@ -42,13 +48,38 @@
         return TABLES + service;
     }
 
+    /** Returns the key of a lender's seat. */
+    public static String seatKey(int number) {
+        return SEATS + number;
+    }
+
     /** Writes a host's record. */
     public static byte[] encode(FleetMember member) {
-        return bytes(JSON.createObjectNode()
+        return bytes(node(member));
+    }
+
+    private static ObjectNode node(FleetMember member) {
+        return JSON.createObjectNode()
                 .put("host", member.host().value())
                 .put("incarnation", member.incarnation())
                 .put("domain", member.domain().value())
-                .put("peer", member.peerAddress()));
+                .put("peer", member.peerAddress());
+    }
+
+    /** Writes who takes a seat, and the lease that it is bound to. */
+    public static byte[] encodeSeat(FleetMember holder, long lease) {
+        return bytes(node(holder).put("lease", lease));
+    }
+
+    /** Reads a seat; empty where the item isn't one. */
+    public static Optional<LenderSeat> seat(StoredItem item) {
+        try {
+            int number = Integer.parseInt(item.key().substring(SEATS.length()));
+            long lease = JSON.readTree(item.value()).path("lease").asLong();
+            return member(item.value()).map(holder -> new LenderSeat(number, holder, lease, item.revision()));
+        } catch (IOException | NumberFormatException unreadable) {
+            return Optional.empty();
+        }
     }
 
     /** Reads a host's record; empty where the bytes aren't one. */
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
@@ -15,12 +15,17 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.gateway.PeerReport;
+import org.dragonflymux.core.quota.RateMessage;
 
-/** Sends a host's reports to the others and takes theirs. */
+/** Sends a host's reports and messages about rates to the others, and takes theirs. */
 public final class PeerSocket {
 
     private static final Logger LOG = LogManager.getLogger(PeerSocket.class);
     private static final int MAX_DATAGRAM_BYTES = 60_000;
+    /** The first byte of a datagram. */
+    private static final byte REPORT = 1;
+
+    private static final byte RATES = 2;
 
     private final Channel channel;
 
@@ -29,7 +34,8 @@
     }
 
     /** Opens the socket. */
-    public static PeerSocket open(EventLoop loop, InetSocketAddress address, Consumer<PeerReport> receiver) {
+    public static PeerSocket open(
+            EventLoop loop, InetSocketAddress address, Consumer<PeerReport> reports, Consumer<RateMessage> rates) {
         Channel channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
@@ -39,8 +45,16 @@
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-                        ReportCodec.decode(ByteBufUtil.getBytes(packet.content()))
-                                .ifPresent(receiver);
+                        if (!packet.content().isReadable()) {
+                            return;
+                        }
+                        byte kind = packet.content().readByte();
+                        byte[] bytes = ByteBufUtil.getBytes(packet.content());
+                        switch (kind) {
+                            case REPORT -> ReportCodec.decode(bytes).ifPresent(reports);
+                            case RATES -> RateCodec.decode(bytes).ifPresent(rates);
+                            default -> LOG.warn("event=peer_message_unknown kind={}", kind);
+                        }
                     }
 
                     @Override
@@ -62,8 +76,17 @@
             return;
         }
         for (InetSocketAddress host : hosts) {
-            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), host));
+            channel.write(datagram(REPORT, bytes, host));
         }
         channel.flush();
     }
+
+    /** Sends a message about rates. */
+    public void send(RateMessage message, InetSocketAddress host) {
+        channel.writeAndFlush(datagram(RATES, RateCodec.encode(message), host));
+    }
+
+    private static DatagramPacket datagram(byte kind, byte[] bytes, InetSocketAddress host) {
+        return new DatagramPacket(Unpooled.wrappedBuffer(new byte[] {kind}, bytes), host);
+    }
 }
--- /dev/null
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/RateCodec.java
@@ -0,0 +1,136 @@
+package org.dragonflymux.gateway.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.quota.RateMessage;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads messages about rates. */
+final class RateCodec {
+
+    private static final Logger LOG = LogManager.getLogger(RateCodec.class);
+    private static final int ASK = 1;
+    private static final int LEND = 2;
+    private static final int MAX_ENTRIES = 4_096;
+
+    private RateCodec() {}
+
+    static byte[] encode(RateMessage message) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            switch (message) {
+                case RateMessage.Ask ask -> {
+                    head(packer, ASK, ask.from(), message);
+                    packer.packLong(ask.incarnation());
+                    packer.packArrayHeader(ask.demands().size());
+                    for (RateMessage.Demand demand : ask.demands()) {
+                        pack(packer, demand);
+                    }
+                }
+                case RateMessage.Lend lend -> {
+                    head(packer, LEND, lend.from(), message);
+                    packer.packArrayHeader(lend.loans().size());
+                    for (RateMessage.Loan loan : lend.loans()) {
+                        pack(packer, loan);
+                    }
+                }
+            }
+            return packer.toByteArray();
+        } catch (IOException impossible) {
+            throw new UnwritableMessageException(impossible);
+        }
+    }
+
+    private static void head(MessageBufferPacker packer, int kind, HostId from, RateMessage message)
+            throws IOException {
+        packer.packInt(kind);
+        packer.packString(from.value());
+        packer.packString(message.to().value());
+        packer.packString(message.via().map(HostId::value).orElse(""));
+    }
+
+    private static void pack(MessageBufferPacker packer, RateMessage.Demand demand) throws IOException {
+        packer.packString(demand.customer().value());
+        packer.packLong(demand.tenure());
+        packer.packLong(demand.sequence());
+        packer.packInt(demand.needed());
+        packer.packInt(demand.wanted());
+        packer.packLong(demand.used());
+        packer.packLong(demand.returned());
+    }
+
+    private static void pack(MessageBufferPacker packer, RateMessage.Loan loan) throws IOException {
+        packer.packString(loan.customer().value());
+        packer.packLong(loan.tenure());
+        packer.packLong(loan.sequence());
+        packer.packInt(loan.tokens());
+        packer.packLong(loan.nextMillis());
+    }
+
+    static Optional<RateMessage> decode(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            return Optional.of(message(unpacker));
+        } catch (IOException | MessagePackException | IllegalArgumentException unreadable) {
+            LOG.warn("event=rate_message_unreadable bytes={} cause=\"{}\"", bytes.length, unreadable.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private static RateMessage message(MessageUnpacker unpacker) throws IOException {
+        int kind = unpacker.unpackInt();
+        HostId from = HostId.of(unpacker.unpackString());
+        HostId to = HostId.of(unpacker.unpackString());
+        Optional<HostId> via = Optional.of(unpacker.unpackString())
+                .filter(name -> !name.isEmpty())
+                .map(HostId::of);
+        return switch (kind) {
+            case ASK -> new RateMessage.Ask(from, unpacker.unpackLong(), to, via, demands(unpacker));
+            case LEND -> new RateMessage.Lend(from, to, via, loans(unpacker));
+            default -> throw new IOException("unknown kind " + kind);
+        };
+    }
+
+    private static List<RateMessage.Demand> demands(MessageUnpacker unpacker) throws IOException {
+        List<RateMessage.Demand> result = new ArrayList<>();
+        for (int i = size(unpacker); i > 0; i--) {
+            result.add(new RateMessage.Demand(
+                    CustomerName.of(unpacker.unpackString()),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackInt(),
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong()));
+        }
+        return result;
+    }
+
+    private static List<RateMessage.Loan> loans(MessageUnpacker unpacker) throws IOException {
+        List<RateMessage.Loan> result = new ArrayList<>();
+        for (int i = size(unpacker); i > 0; i--) {
+            result.add(new RateMessage.Loan(
+                    CustomerName.of(unpacker.unpackString()),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong()));
+        }
+        return result;
+    }
+
+    private static int size(MessageUnpacker unpacker) throws IOException {
+        int announced = unpacker.unpackArrayHeader();
+        if (announced > MAX_ENTRIES) {
+            throw new IOException("too many entries: " + announced);
+        }
+        return announced;
+    }
+}
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
@@ -9,7 +9,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.gateway.PeerReport;
-import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
@@ -22,7 +21,7 @@
 final class ReportCodec {
 
     private static final Logger LOG = LogManager.getLogger(ReportCodec.class);
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
     private static final int MAX_ENTRIES = 4_096;
 
     private ReportCodec() {}
@@ -44,11 +43,6 @@
                 packer.packInt(use.slowdownPercent());
                 packer.packInt(use.slowdownAgeMillis());
             }
-            packer.packMapHeader(report.admitted().size());
-            for (Map.Entry<CustomerName, Long> count : report.admitted().entrySet()) {
-                packer.packString(count.getKey().value());
-                packer.packLong(count.getValue());
-            }
             packer.packMapHeader(report.waiting().size());
             for (Map.Entry<ServiceName, Integer> count : report.waiting().entrySet()) {
                 packer.packString(count.getKey().value());
@@ -64,7 +58,7 @@
             }
             return packer.toByteArray();
         } catch (IOException impossible) {
-            throw new UnwritableReportException(impossible);
+            throw new UnwritableMessageException(impossible);
         }
     }
 
@@ -96,10 +90,6 @@
                     unpacker.unpackInt(),
                     unpacker.unpackInt()));
         }
-        Map<CustomerName, Long> admitted = new HashMap<>();
-        for (int i = size(unpacker.unpackMapHeader()); i > 0; i--) {
-            admitted.put(CustomerName.of(unpacker.unpackString()), unpacker.unpackLong());
-        }
         Map<ServiceName, Integer> waiting = new HashMap<>();
         for (int i = size(unpacker.unpackMapHeader()); i > 0; i--) {
             waiting.put(ServiceName.of(unpacker.unpackString()), unpacker.unpackInt());
@@ -113,7 +103,7 @@
             }
             keys.put(service, list);
         }
-        return new PeerReport(from, incarnation, version, stale, targets, admitted, waiting, keys);
+        return new PeerReport(from, incarnation, version, stale, targets, waiting, keys);
     }
 
     private static int size(int announced) throws IOException {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/peer/ReportCodecTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/peer/ReportCodecTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import org.dragonflymux.core.gateway.PeerReport;
-import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
@@ -20,7 +19,6 @@
             7,
             150,
             List.of(new PeerReport.TargetUse(TargetId.of("t"), 3, 2, 5, 40, 300, 20)),
-            Map.of(CustomerName.of("c"), 99L),
             Map.of(ServiceName.of("s"), 4),
             Map.of(ServiceName.of("s"), new int[] {1, 65_535}));
 
