The age of other hosts' news is measured by the receiver's own clock; reports prolong no credential

Relayed news and other hosts' reports told that as an age at their sending, and the receiver counted it from their arrival. A datagram that lay unread in a busy or suspended host's socket, and bytes that a cut had held up, made old news fresh. Class: a time taken from another clock without a bound on the way between.

Change: a host sends marks that bear its own time to the host that relays news to it, and a frame says how long before it the latest mark came; what was complete then is dated from the mark. Reports no longer date anything: they have no such way back. The test that took a report's word is replaced by one that demands the opposite.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -173,9 +173,6 @@
     /** Takes in what another host says. */
     public List<GatewayEffect> reported(PeerReport report, long now) {
         fleet.reported(report, now);
-        if (desired.isPresent() && report.stateVersion() <= desired.get().version()) {
-            storeConfirmed(now - report.staleMillis());
-        }
         dispatchAll(now);
         return taken();
     }
@@ -203,14 +200,7 @@
         requestedKeys.forEach((service, list) ->
                 keys.put(service, list.stream().mapToInt(Integer::intValue).toArray()));
         requestedKeys.clear();
-        return new PeerReport(
-                settings.host(),
-                settings.incarnation(),
-                desired.map(DesiredState::version).orElse(0L),
-                Math.max(0, Math.min(Integer.MAX_VALUE, staleMillis(now))),
-                uses,
-                waiting.countByService(),
-                keys);
+        return new PeerReport(settings.host(), settings.incarnation(), uses, waiting.countByService(), keys);
     }
 
     /** Takes in a request. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
@@ -11,8 +11,6 @@
  *
  * @param from the host
  * @param incarnation its life
- * @param stateVersion the version of its desired state
- * @param staleMillis for how long its view of the store hasn't been confirmed
  * @param targets what it has at targets and saw of them
  * @param waiting how many requests wait there, by service
  * @param keys shard keys requested since the last report, by service
@@ -20,8 +18,6 @@
 public record PeerReport(
         HostId from,
         long incarnation,
-        long stateVersion,
-        long staleMillis,
         List<TargetUse> targets,
         Map<ServiceName, Integer> waiting,
         Map<ServiceName, int[]> keys) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -197,20 +197,14 @@
             assertThat(reason(arrive("/read/x"))).isEqualTo(RefusalReason.STALE_CREDENTIALS);
         }
 
+        /** Guards against CONFIG: withdrawn credentials worked on, since a report was taken for fresh that had lain unread. */
         @Test
-        void takes_another_hosts_word_that_its_desired_state_is_the_newest() {
+        void reports_whose_age_can_not_be_told_do_not_prolong_credentials() {
             now += WITHDRAWAL_MILLIS;
-            gateway.reported(new PeerReport(HostId.of("other"), 1, 1, 200, List.of(), Map.of(), Map.of()), now);
-
-            assertThat(gateway.ready(now)).isTrue();
-        }
-
-        @Test
-        void does_not_take_the_word_of_a_host_that_knows_a_newer_state() {
-            now += WITHDRAWAL_MILLIS;
-            gateway.reported(new PeerReport(HostId.of("other"), 1, 2, 200, List.of(), Map.of(), Map.of()), now);
+            gateway.reported(new PeerReport(HostId.of("other"), 1, List.of(), Map.of(), Map.of()), now);
 
             assertThat(gateway.ready(now)).isFalse();
+            assertThat(reason(arrive("/read/x"))).isEqualTo(RefusalReason.STALE_CREDENTIALS);
         }
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -57,6 +57,7 @@
     private static final long REPORT_MILLIS = 100;
     private static final long FEED_TICK_MILLIS = 100;
     private static final long HEARTBEAT_MILLIS = 200;
+    private static final long MARK_MILLIS = 200;
     private static final long WATCH_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
     private static final RequestLimits FIRST_LIMITS = new RequestLimits(16_384, 1 << 20, 5_000, 15_000);
@@ -164,6 +165,7 @@
         every(REPORT_MILLIS, this::report);
         every(FEED_TICK_MILLIS, this::followFeed);
         every(HEARTBEAT_MILLIS, this::heartbeat);
+        every(MARK_MILLIS, mirror::mark);
         every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
         LOG.info(
                 "event=started host={} incarnation={}",
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
@@ -31,8 +31,6 @@
             packer.packInt(FORMAT);
             packer.packString(report.from().value());
             packer.packLong(report.incarnation());
-            packer.packLong(report.stateVersion());
-            packer.packLong(report.staleMillis());
             packer.packArrayHeader(report.targets().size());
             for (PeerReport.TargetUse use : report.targets()) {
                 packer.packString(use.target().value());
@@ -77,8 +75,6 @@
     private static PeerReport report(MessageUnpacker unpacker) throws IOException {
         HostId from = HostId.of(unpacker.unpackString());
         long incarnation = unpacker.unpackLong();
-        long version = unpacker.unpackLong();
-        long stale = unpacker.unpackLong();
         List<PeerReport.TargetUse> targets = new ArrayList<>();
         for (int i = size(unpacker.unpackArrayHeader()); i > 0; i--) {
             targets.add(new PeerReport.TargetUse(
@@ -103,7 +99,7 @@
             }
             keys.put(service, list);
         }
-        return new PeerReport(from, incarnation, version, stale, targets, waiting, keys);
+        return new PeerReport(from, incarnation, targets, waiting, keys);
     }
 
     private static int size(int announced) throws IOException {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -16,11 +17,12 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,14 +34,25 @@
     private static final int LENGTH_BYTES = 4;
     private static final int MAX_FRAME_BYTES = 32 << 20;
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
+    private static final ReceivedMark NO_MARK = new ReceivedMark(0, 0);
 
     private final EventLoop loop;
-    private final Set<Channel> subscribers = new HashSet<>();
+    private final LongSupplier clock;
+    private final Map<Channel, ReceivedMark> subscribers = new HashMap<>();
     private Optional<InetSocketAddress> source = Optional.empty();
     private Channel subscription;
 
-    Relay(EventLoop loop) {
+    /** A subscriber's latest mark, and when it came; a time of the subscriber, and one of this host. */
+    private record ReceivedMark(long time, long at) {}
+
+    /**
+     * Creates a relay.
+     *
+     * @param clock tells the time, in milliseconds
+     */
+    Relay(EventLoop loop, LongSupplier clock) {
         this.loop = loop;
+        this.clock = clock;
     }
 
     /**
@@ -72,24 +85,37 @@
 
     /** Sends news to all subscribers. */
     void publish(RelayFrame frame) {
-        for (Channel subscriber : List.copyOf(subscribers)) {
+        for (Channel subscriber : List.copyOf(subscribers.keySet())) {
             send(subscriber, frame);
         }
     }
 
-    private static void send(Channel subscriber, RelayFrame frame) {
+    private void send(Channel subscriber, RelayFrame frame) {
         if (!subscriber.isWritable()) {
             // It doesn't read; it has to begin anew.
             subscriber.close();
             return;
         }
         try {
-            subscriber.writeAndFlush(frame.encode());
+            subscriber.writeAndFlush(frame.marked(mark(subscriber)).encode());
         } catch (IOException unwritable) {
             LOG.warn("event=relay_frame_unwritable cause=\"{}\"", unwritable.getMessage());
         }
     }
 
+    private Optional<RelayFrame.Mark> mark(Channel subscriber) {
+        return Optional.ofNullable(subscribers.get(subscriber))
+                .filter(received -> received != NO_MARK)
+                .map(received -> new RelayFrame.Mark(received.time(), clock.getAsLong() - received.at()));
+    }
+
+    /** Sends this host's time to the host that is asked for news. */
+    void mark() {
+        if (subscription != null && subscription.isActive()) {
+            subscription.writeAndFlush(Unpooled.copyLong(clock.getAsLong()));
+        }
+    }
+
     /** Asks the given host for news, in place of the one that was asked before. */
     void follow(Optional<InetSocketAddress> address, Consumer<RelayFrame> news) {
         boolean broken = subscription != null && !subscription.isOpen();
@@ -127,13 +153,17 @@
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            subscribers.add(context.channel());
+            subscribers.put(context.channel(), NO_MARK);
             send(context.channel(), first.get());
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, ByteBuf ignored) {
-            context.close();
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf mark) {
+            if (mark.readableBytes() == Long.BYTES) {
+                subscribers.put(context.channel(), new ReceivedMark(mark.readLong(), clock.getAsLong()));
+            } else {
+                context.close();
+            }
         }
 
         @Override
@@ -148,7 +178,7 @@
     }
 
     /** The side that takes news. */
-    private static final class Subscription extends SimpleChannelInboundHandler<ByteBuf> {
+    private final class Subscription extends SimpleChannelInboundHandler<ByteBuf> {
 
         private final Consumer<RelayFrame> news;
 
@@ -156,6 +186,11 @@
             this.news = news;
         }
 
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            context.writeAndFlush(Unpooled.copyLong(clock.getAsLong()));
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) throws IOException {
             news.accept(RelayFrame.decode(bytes));
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/RelayFrame.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/RelayFrame.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -13,12 +15,36 @@
 /**
  * News of the store from one host to another.
  *
+ * <p>How long a frame was on its way can't be told from it: it may lie in buffers for seconds while a connection is cut or
+ * its reader is suspended. So its receiver sends marks that bear its own time, and a frame tells when the latest one came.
+ *
  * @param whole whether the changes are all values there are, in place of what was known
  * @param changes the changes, and the revision up to which they are complete
  * @param ageMillis how long ago they were complete
  * @param returnedMillis how long ago the store came back after an outage, as the sender saw it
+ * @param mark the receiver's latest mark, or none
  */
-record RelayFrame(boolean whole, StoreClient.Changes changes, long ageMillis, long returnedMillis) {
+record RelayFrame(
+        boolean whole, StoreClient.Changes changes, long ageMillis, long returnedMillis, Optional<Mark> mark) {
+
+    /**
+     * A receiver's mark, as the sender of news has it.
+     *
+     * @param time the receiver's time at which it was sent
+     * @param ageMillis how long ago it came
+     */
+    record Mark(long time, long ageMillis) {}
+
+    /** Returns this frame with its receiver's mark. */
+    RelayFrame marked(Optional<Mark> receiversMark) {
+        return new RelayFrame(whole, changes, ageMillis, returnedMillis, receiversMark);
+    }
+
+    /** Returns at which time of the receiver the changes were complete, at the earliest. */
+    OptionalLong completeAt() {
+        return mark.map(present -> OptionalLong.of(present.time() + present.ageMillis() - ageMillis))
+                .orElse(OptionalLong.empty());
+    }
 
     ByteBuf encode() throws IOException {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
@@ -26,6 +52,11 @@
             packer.packLong(changes.revision());
             packer.packLong(ageMillis);
             packer.packLong(returnedMillis);
+            packer.packBoolean(mark.isPresent());
+            if (mark.isPresent()) {
+                packer.packLong(mark.get().time());
+                packer.packLong(mark.get().ageMillis());
+            }
             packer.packArrayHeader(changes.changes().size());
             for (StoreChange change : changes.changes()) {
                 pack(packer, change);
@@ -56,11 +87,14 @@
             long revision = unpacker.unpackLong();
             long age = unpacker.unpackLong();
             long returned = unpacker.unpackLong();
+            Optional<Mark> mark = unpacker.unpackBoolean()
+                    ? Optional.of(new Mark(unpacker.unpackLong(), unpacker.unpackLong()))
+                    : Optional.empty();
             List<StoreChange> changes = new ArrayList<>();
             for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
                 changes.add(change(unpacker));
             }
-            return new RelayFrame(whole, new StoreClient.Changes(changes, revision), age, returned);
+            return new RelayFrame(whole, new StoreClient.Changes(changes, revision), age, returned, mark);
         }
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -64,7 +64,7 @@
         this.waitMillis = waitMillis;
         this.clock = clock;
         this.listener = listener;
-        this.relay = new Relay(loop);
+        this.relay = new Relay(loop, clock);
     }
 
     /**
@@ -105,6 +105,11 @@
         }
     }
 
+    /** Marks the time for the host that is asked for news, so that the age of its next news can be told. */
+    public void mark() {
+        relay.mark();
+    }
+
     /** Tells those that ask this host that there is nothing newer. */
     public void heartbeat() {
         publish(List.of());
@@ -224,10 +229,8 @@
     }
 
     private void relayed(RelayFrame frame) {
-        long now = clock.getAsLong();
-        long at = now - frame.ageMillis();
         if (frame.returnedMillis() < NEVER_MILLIS) {
-            returnedAt = Math.max(returnedAt, now - frame.returnedMillis());
+            returnedAt = Math.max(returnedAt, clock.getAsLong() - frame.returnedMillis());
             listener.returned(returnedAt);
         }
         if (frame.whole()) {
@@ -244,10 +247,13 @@
         } else {
             apply(frame.changes());
         }
-        if (frame.changes().revision() >= revision) {
-            confirm(at);
-        }
-        listener.relayed(at);
+        boolean current = frame.changes().revision() >= revision;
+        frame.completeAt().ifPresent(at -> {
+            if (current) {
+                confirm(at);
+            }
+            listener.relayed(at);
+        });
     }
 
     private RelayFrame whole() {
@@ -268,7 +274,8 @@
                 whole,
                 new StoreClient.Changes(changes, revision),
                 Math.min(NEVER_MILLIS, now - completeAt),
-                Math.min(NEVER_MILLIS, now - returnedAt));
+                Math.min(NEVER_MILLIS, now - returnedAt),
+                Optional.empty());
     }
 
     private void answered() {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/peer/ReportCodecTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/peer/ReportCodecTest.java
@@ -16,8 +16,6 @@
     private static final PeerReport REPORT = new PeerReport(
             HostId.of("h"),
             12,
-            7,
-            150,
             List.of(new PeerReport.TargetUse(TargetId.of("t"), 3, 2, 5, 40, 300, 20)),
             Map.of(ServiceName.of("s"), 4),
             Map.of(ServiceName.of("s"), new int[] {1, 65_535}));
