A question for tokens is asked again under its number; hosts that start together share the lenders' seats; lenders say whom they denied

Cause: a lender that was slow in its first second got each question again after 80 ms and lent again; all of the burst was outstanding at hosts that had no use for it (554 of 554), so the bucket was dry. And the two hosts that registered first had taken all 16 seats.

Change: a question is repeated under its number and gets the same answer; a seat is claimed 300 ms after a host knows the fleet. The ceiling's test now also demands that something is served: it had passed while, through a slip in the test's fleet, no seat was ever taken.

Evidence: CustomerLedgerTest a_question_that_is_asked_again_gets_the_same_tokens.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/CustomerLedger.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/CustomerLedger.java
@@ -21,11 +21,16 @@
     private double tokens;
     private double outstanding;
     private long filledAt;
+    private long lentSinceUse;
+    private long givenBackSinceUse;
+    private long deniedSinceUse;
 
     private static final class Borrower {
         private long incarnation;
         private long used;
         private long returned;
+        private long lastSequence;
+        private long lastLent;
         private final Deque<Lent> lent = new ArrayDeque<>();
     }
 
@@ -51,9 +56,12 @@
             borrower.incarnation = incarnation;
             borrower.used = 0;
             borrower.returned = 0;
+            borrower.lastSequence = 0;
         }
         retire(borrower, used - borrower.used);
-        tokens += retire(borrower, returned - borrower.returned);
+        long back = retire(borrower, returned - borrower.returned);
+        tokens += back;
+        givenBackSinceUse += back;
         borrower.used = Math.max(borrower.used, used);
         borrower.returned = Math.max(borrower.returned, returned);
     }
@@ -76,20 +84,31 @@
     }
 
     /**
-     * Lends tokens.
+     * Lends tokens; a question that was answered before gets the same answer, and no new tokens.
      *
+     * @param sequence the question's number, which grows
      * @param needed how many requests wait
      * @param wanted how many are welcome; those beyond the needed ones are lent out of the fuller half of the bucket only
      */
-    int lend(HostId host, int needed, int wanted, CustomerSpec customer, long now) {
+    int lend(HostId host, long sequence, int needed, int wanted, CustomerSpec customer, long now) {
         fill(customer, now);
+        Borrower borrower = borrowers.computeIfAbsent(host, _ -> new Borrower());
+        if (sequence <= borrower.lastSequence) {
+            return sequence == borrower.lastSequence ? (int) borrower.lastLent : 0;
+        }
         long whole = (long) Math.floor(tokens);
         long spare = (long) Math.floor(tokens - capacity(customer) / 2);
         long lent = Math.clamp(Math.max(Math.min(needed, whole), Math.min(wanted, spare)), 0, Integer.MAX_VALUE);
+        borrower.lastSequence = sequence;
+        borrower.lastLent = lent;
+        if (lent < needed) {
+            deniedSinceUse++;
+        }
         if (lent > 0) {
+            lentSinceUse += lent;
             tokens -= lent;
             outstanding += lent;
-            borrowers.computeIfAbsent(host, _ -> new Borrower()).lent.addLast(new Lent(now, lent));
+            borrower.lent.addLast(new Lent(now, lent));
         }
         return (int) lent;
     }
@@ -116,4 +135,21 @@
         double missing = Math.max(0, 1 - tokens);
         return Math.max(0, filledAt - now) + (long) Math.ceil(missing * MILLIS_PER_SECOND / customer.ratePerSecond());
     }
+
+    /** Returns what was done since the last call. */
+    RateUse use(CustomerSpec customer) {
+        RateUse use = new RateUse(
+                customer.name(),
+                customer.ratePerSecond(),
+                customer.burst(),
+                lentSinceUse,
+                givenBackSinceUse,
+                deniedSinceUse,
+                tokens,
+                outstanding);
+        lentSinceUse = 0;
+        givenBackSinceUse = 0;
+        deniedSinceUse = 0;
+        return use;
+    }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/FleetRates.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/FleetRates.java
@@ -111,7 +111,7 @@
         if (seat == null) {
             return List.of();
         }
-        Optional<HostId> via = account.unanswered(now) ? relay(seat.holder().host()) : Optional.empty();
+        Optional<HostId> via = account.awaitsLong(now) ? relay(seat.holder().host()) : Optional.empty();
         return account.due(++lastSequence, now)
                 .map(demand -> say(seat.holder().host(), via, List.of(demand), now))
                 .orElse(List.of());
@@ -209,4 +209,9 @@
         }
         byLender.forEach((host, demands) -> say(host, Optional.empty(), demands, now));
     }
+
+    /** Returns what this host did with the tokens that it lends since the last call. */
+    public List<RateUse> uses() {
+        return lender.uses(this::spec);
+    }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/LenderElection.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/LenderElection.java
@@ -18,6 +18,9 @@
 public final class LenderElection {
 
     private static final long STAGGER_MILLIS = 150;
+    /** Hosts that start together come to know of each other in this time, and share the seats. */
+    private static final long SETTLE_MILLIS = 300;
+
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
     private static final long NEWS_MILLIS = 200;
 
@@ -25,6 +28,7 @@
     private final Map<Integer, LenderSeat> seats = new HashMap<>();
     private final Map<Integer, Long> freeSince = new HashMap<>();
     private long nextClaim = Long.MIN_VALUE;
+    private long settledAt = Long.MAX_VALUE;
 
     /**
      * A seat to be taken.
@@ -66,6 +70,10 @@
      * @param lease this host's lease, which surely holds
      */
     public List<Claim> due(Map<HostId, FleetMember> members, long lease, long now) {
+        settledAt = Math.min(settledAt, now + SETTLE_MILLIS);
+        if (now < settledAt) {
+            return List.of();
+        }
         List<Claim> claims = new ArrayList<>();
         for (int number = 0; number < LenderSeat.COUNT; number++) {
             Optional<LenderSeat> seat = Optional.ofNullable(seats.get(number));
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/RateMessage.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/RateMessage.java
@@ -8,6 +8,9 @@
 /** What borrowers and lenders of tokens say to each other. */
 public sealed interface RateMessage {
 
+    /** Returns who says it. */
+    HostId from();
+
     /** Returns who is to have it. */
     HostId to();
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
@@ -3,10 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.dragonflymux.core.name.CustomerName;
 
 /**
@@ -28,7 +28,8 @@
     private final CustomerName customer;
     private final Deque<Batch> stock = new ArrayDeque<>();
     private final Deque<Parked> parked = new ArrayDeque<>();
-    private final Map<Long, Asked> asked = new HashMap<>();
+    private final Set<Long> unanswered = new HashSet<>();
+    private Optional<Question> open = Optional.empty();
     private long tenure;
     private long used;
     private long returned;
@@ -44,7 +45,7 @@
 
     private record Parked(long request, long since) {}
 
-    private record Asked(long at, int needed) {}
+    private record Question(long sequence, long at, int needed, int wanted) {}
 
     TokenAccount(CustomerName customer) {
         this.customer = customer;
@@ -79,7 +80,10 @@
             Batch old = stock.removeFirst();
             giveBack(old.tenure(), old.count());
         }
-        asked.values().removeIf(question -> question.at() + USABLE_MILLIS <= now);
+        open.filter(question -> question.at() + USABLE_MILLIS <= now).ifPresent(question -> {
+            unanswered.add(question.sequence());
+            open = Optional.empty();
+        });
     }
 
     private int stocked() {
@@ -115,26 +119,33 @@
         }
     }
 
-    /** Returns what is to be asked now, if anything is needed and no answer is awaited. */
+    /**
+     * Returns what is to be asked now, if anything is needed. A question without an answer is asked again under its number,
+     * so that the lender doesn't lend twice for one need.
+     */
     Optional<RateMessage.Demand> due(long sequence, long now) {
         dropOld(now);
-        int ahead = (int) (perMilli * AHEAD_MILLIS);
-        boolean runsLow = 2 * stocked() < ahead && now >= noStockUntil && now < arrivedAt + AHEAD_MILLIS;
-        boolean awaits = !asked.isEmpty() && now < lastAskAt + ASK_AGAIN_MILLIS;
-        if (awaits || now < pausedUntil || parked.isEmpty() && !runsLow) {
+        if (now < pausedUntil || open.isPresent() && now < lastAskAt + ASK_AGAIN_MILLIS) {
             return Optional.empty();
         }
-        int needed = parked.size();
-        asked.put(sequence, new Asked(now, needed));
+        if (open.isEmpty()) {
+            int ahead = (int) (perMilli * AHEAD_MILLIS);
+            boolean runsLow = 2 * stocked() < ahead && now >= noStockUntil && now < arrivedAt + AHEAD_MILLIS;
+            if (parked.isEmpty() && !runsLow) {
+                return Optional.empty();
+            }
+            int needed = parked.size();
+            open = Optional.of(new Question(sequence, now, needed, Math.max(needed, needed + ahead - stocked())));
+        }
         lastAskAt = now;
         told = used + returned;
-        int wanted = Math.max(needed, needed + ahead - stocked());
-        return Optional.of(new RateMessage.Demand(customer, tenure, sequence, needed, wanted, used, returned));
+        return open.map(question -> new RateMessage.Demand(
+                customer, tenure, question.sequence(), question.needed(), question.wanted(), used, returned));
     }
 
     /** Returns whether an answer is awaited for longer than usual. */
-    boolean unanswered(long now) {
-        return asked.values().stream().anyMatch(question -> now >= question.at() + ASK_AGAIN_MILLIS);
+    boolean awaitsLong(long now) {
+        return open.filter(question -> now >= question.at() + ASK_AGAIN_MILLIS).isPresent();
     }
 
     /** Returns what the lender hasn't been told yet, if anything. */
@@ -149,12 +160,20 @@
 
     /** Takes in a loan, and returns what comes of it for the requests that wait. */
     List<RateDecision> lent(RateMessage.Loan loan, long now) {
-        Asked question = asked.remove(loan.sequence());
+        Optional<Question> answered = open.filter(question -> question.sequence() == loan.sequence());
+        if (answered.isEmpty()) {
+            if (unanswered.remove(loan.sequence())) {
+                giveBack(loan.tenure(), loan.tokens());
+            }
+            return List.of();
+        }
+        open = Optional.empty();
         if (loan.tenure() == 0) {
             pausedUntil = now + NOT_LENDER_PAUSE_MILLIS;
             return List.of();
         }
-        if (question == null || now >= question.at() + USABLE_MILLIS) {
+        Question question = answered.get();
+        if (now >= question.at() + USABLE_MILLIS) {
             giveBack(loan.tenure(), loan.tokens());
             return List.of();
         }
@@ -172,6 +191,7 @@
             used = 0;
             returned = 0;
             told = 0;
+            unanswered.clear();
         }
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenLender.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenLender.java
@@ -84,8 +84,24 @@
         boolean sameTenure = demand.tenure() == lending.tenure();
         ledger.settle(
                 ask.from(), ask.incarnation(), sameTenure ? demand.used() : 0, sameTenure ? demand.returned() : 0);
-        int tokens = ledger.lend(ask.from(), demand.needed(), demand.wanted(), spec.get(), now);
+        if (demand.sequence() == 0) {
+            return new RateMessage.Loan(customer, lending.tenure(), 0, 0, 0);
+        }
+        int tokens = ledger.lend(ask.from(), demand.sequence(), demand.needed(), demand.wanted(), spec.get(), now);
         return new RateMessage.Loan(
                 customer, lending.tenure(), demand.sequence(), tokens, ledger.nextMillis(spec.get(), now));
     }
+
+    /** Returns what was done with the tokens of limited customers since the last call. */
+    List<RateUse> uses(Function<CustomerName, Optional<CustomerSpec>> customers) {
+        List<RateUse> result = new ArrayList<>();
+        for (Lending lending : lendings.values()) {
+            lending.ledgers()
+                    .forEach((customer, ledger) -> customers
+                            .apply(customer)
+                            .filter(CustomerSpec::limited)
+                            .ifPresent(spec -> result.add(ledger.use(spec))));
+        }
+        return result;
+    }
 }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/QuotaExceededUnderFaultsTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/QuotaExceededUnderFaultsTest.java
@@ -60,6 +60,7 @@
             RateFleet fleet = fleet(1);
 
             assertThat(fullestWindow(fleet, 1, () -> {})).isLessThanOrEqualTo(ceiling(RATE, BURST));
+            assertThat(fleet.admitted(HOT)).isGreaterThan((int) (0.95 * RATE * (DAY_MILLIS - 5_000) / 1_000));
         }
 
         @Test
@@ -176,6 +177,7 @@
         });
 
         assertThat(most).isLessThanOrEqualTo(ceiling(RATE, BURST));
+        assertThat(fleet.admitted(HOT)).isGreaterThan(ceiling(RATE, BURST));
     }
 
     private static void inject(RateFleet fleet, SplittableRandom random) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/CustomerLedgerTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/CustomerLedgerTest.java
@@ -17,21 +17,22 @@
 
     private final CustomerSpec customer = spec(100, 100);
     private final CustomerLedger ledger = new CustomerLedger(0);
+    private long sequence;
 
     private static CustomerSpec spec(double rate, double burst) {
         return new CustomerSpec(CustomerName.of("c"), OptionalInt.empty(), rate, burst);
     }
 
     private int lend(HostId host, int tokens, long now) {
-        return ledger.lend(host, tokens, tokens, customer, now);
+        return ledger.lend(host, ++sequence, tokens, tokens, customer, now);
     }
 
     @Test
     void a_new_bucket_is_empty_until_it_begins_to_fill() {
         CustomerLedger later = new CustomerLedger(1_000);
 
-        assertThat(later.lend(HOST, 10, 10, customer, 1_000)).isZero();
-        assertThat(later.lend(HOST, 10, 10, customer, 1_050)).isEqualTo(5);
+        assertThat(later.lend(HOST, ++sequence, 10, 10, customer, 1_000)).isZero();
+        assertThat(later.lend(HOST, ++sequence, 10, 10, customer, 1_050)).isEqualTo(5);
     }
 
     @Test
@@ -43,17 +44,28 @@
 
     @Test
     void tokens_ahead_of_need_come_out_of_the_fuller_half() {
-        assertThat(ledger.lend(HOST, 0, 80, customer, FULL)).isEqualTo(50);
-        assertThat(ledger.lend(OTHER, 0, 1, customer, FULL)).isZero();
-        assertThat(ledger.lend(OTHER, 1, 1, customer, FULL)).isEqualTo(1);
+        assertThat(ledger.lend(HOST, ++sequence, 0, 80, customer, FULL)).isEqualTo(50);
+        assertThat(ledger.lend(OTHER, ++sequence, 0, 1, customer, FULL)).isZero();
+        assertThat(ledger.lend(OTHER, ++sequence, 1, 1, customer, FULL)).isEqualTo(1);
+    }
+
+    /** Guards against requests refused inside the rate: a slow lender lent again for every repeated question. */
+    @Test
+    void a_question_that_is_asked_again_gets_the_same_tokens() {
+        assertThat(ledger.lend(HOST, 7, 10, 10, customer, FULL)).isEqualTo(10);
+        assertThat(ledger.lend(HOST, 7, 10, 10, customer, FULL)).isEqualTo(10);
+        assertThat(ledger.lend(HOST, 6, 10, 10, customer, FULL)).isZero();
+
+        assertThat(ledger.lend(OTHER, 1, 1_000, 1_000, customer, FULL)).isEqualTo(90);
     }
 
     @Test
     void a_lowered_limit_holds_at_once() {
-        assertThat(ledger.lend(HOST, 1_000, 1_000, customer, FULL)).isEqualTo(100);
+        assertThat(ledger.lend(HOST, ++sequence, 1_000, 1_000, customer, FULL)).isEqualTo(100);
         ledger.settle(HOST, 0, 0, 100);
 
-        assertThat(ledger.lend(HOST, 1_000, 1_000, spec(10, 10), FULL)).isEqualTo(10);
+        assertThat(ledger.lend(HOST, ++sequence, 1_000, 1_000, spec(10, 10), FULL))
+                .isEqualTo(10);
     }
 
     @Nested
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LenderElectionTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LenderElectionTest.java
@@ -16,11 +16,18 @@
 class LenderElectionTest {
 
     private static final long LEASE = 5;
+    private static final long SETTLED = 300;
 
     private static FleetMember member(String host, long incarnation) {
         return new FleetMember(HostId.of(host), incarnation, FailureDomain.of("a"), "127.0.0.1:1");
     }
 
+    /** Returns what a host claims that has known the members for a while. */
+    private static List<LenderElection.Claim> settled(LenderElection election, Map<HostId, FleetMember> members) {
+        assertThat(election.due(members, LEASE, 0)).isEmpty();
+        return election.due(members, LEASE, SETTLED);
+    }
+
     private static Map<HostId, FleetMember> members(FleetMember... members) {
         Map<HostId, FleetMember> result = new HashMap<>();
         for (FleetMember member : members) {
@@ -41,7 +48,7 @@
     void a_host_alone_takes_all_seats_that_are_free() {
         LenderElection election = LenderElection.of(member("h", 1));
 
-        List<LenderElection.Claim> claims = election.due(members(member("h", 1)), LEASE, 0);
+        List<LenderElection.Claim> claims = settled(election, members(member("h", 1)));
 
         assertThat(claims).hasSize(LenderSeat.COUNT).allMatch(claim -> claim.expectedRevision() == 0);
     }
@@ -52,7 +59,7 @@
         Set<Integer> claimed = new HashSet<>();
         int total = 0;
         for (FleetMember self : all) {
-            List<LenderElection.Claim> claims = LenderElection.of(self).due(members(all), LEASE, 0);
+            List<LenderElection.Claim> claims = settled(LenderElection.of(self), members(all));
             claims.forEach(claim -> claimed.add(claim.number()));
             total += claims.size();
         }
@@ -65,10 +72,10 @@
     void others_follow_where_the_first_does_not_come() {
         LenderElection election = LenderElection.of(member("a", 1));
         Map<HostId, FleetMember> members = members(member("a", 1), member("b", 1));
-        election.due(members, LEASE, 0);
-        election.claimEnded(0);
+        settled(election, members);
+        election.claimEnded(SETTLED);
 
-        assertThat(election.due(members, LEASE, 200)).hasSize(LenderSeat.COUNT);
+        assertThat(election.due(members, LEASE, SETTLED + 200)).hasSize(LenderSeat.COUNT);
     }
 
     @Test
@@ -86,10 +93,10 @@
         LenderElection election = LenderElection.of(member("a", 1));
         election.seats(allHeldBy(member("b", 1), 9));
         Map<HostId, FleetMember> members = members(member("a", 1), member("b", 2));
-        election.due(members, LEASE, 0);
-        election.claimEnded(0);
+        settled(election, members);
+        election.claimEnded(SETTLED);
 
-        List<LenderElection.Claim> claims = election.due(members, LEASE, 200);
+        List<LenderElection.Claim> claims = election.due(members, LEASE, SETTLED + 200);
 
         assertThat(claims).hasSize(LenderSeat.COUNT).allMatch(claim -> claim.expectedRevision() == 40 + claim.number());
     }
@@ -99,9 +106,10 @@
         LenderElection election = LenderElection.of(member("a", 1));
         election.seats(allHeldBy(member("a", 1), LEASE - 1));
 
-        assertThat(election.due(members(member("a", 1)), LEASE, 0)).hasSize(LenderSeat.COUNT);
+        assertThat(settled(election, members(member("a", 1)))).hasSize(LenderSeat.COUNT);
         election.seats(allHeldBy(member("a", 1), LEASE));
-        election.claimEnded(0);
-        assertThat(election.due(members(member("a", 1)), LEASE, 1_000)).isEmpty();
+        election.claimEnded(SETTLED);
+        assertThat(election.due(members(member("a", 1)), LEASE, SETTLED + 1_000))
+                .isEmpty();
     }
 }
