--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/ColdPacer.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/ColdPacer.java
@@ -1,13 +1,16 @@
 package org.dragonflymux.core.balance;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.function.IntSupplier;
 import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 
 /**
  * Keeps what all hosts together send to a cold target below what it bears: each host sends one request at a time, in
- * intervals that grow with the number of hosts.
+ * intervals that grow with the number of hosts, and begins at a moment of its own within the first interval.
  */
 public final class ColdPacer {
 
@@ -15,19 +18,27 @@
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final IntSupplier hosts;
+    private final HostId self;
     private Map<ServiceName, ServiceSpec> services = Map.of();
 
-    private ColdPacer(IntSupplier hosts) {
+    private ColdPacer(HostId self, IntSupplier hosts) {
+        this.self = self;
         this.hosts = hosts;
     }
 
     /**
      * Returns a pacer.
      *
+     * @param self this host
      * @param hosts tells how many hosts may send
      */
-    public static ColdPacer of(IntSupplier hosts) {
-        return new ColdPacer(hosts);
+    public static ColdPacer of(HostId self, IntSupplier hosts) {
+        return new ColdPacer(self, hosts);
+    }
+
+    /** Returns how many hosts may send. */
+    int hosts() {
+        return Math.max(1, hosts.getAsInt());
     }
 
     /** Replaces what services' targets bear. */
@@ -37,7 +48,19 @@
 
     /** Returns whether a request may be sent to the target now. */
     public boolean admits(TargetState target, long now) {
-        return !target.cold(now) || now - target.lastColdSend() >= intervalMillis(target);
+        if (!target.cold(now)) {
+            return true;
+        }
+        double interval = intervalMillis(target);
+        return now - target.lastColdSend() >= interval && now - target.coldSince() >= phase(target) * interval;
+    }
+
+    /** Returns which part of the first interval this host lets pass; hosts' parts are spread evenly. */
+    private double phase(TargetState target) {
+        int hash = Hashing.murmur3_32_fixed(target.entry().id().hash())
+                .hashString(self.value(), StandardCharsets.UTF_8)
+                .asInt();
+        return Integer.toUnsignedLong(hash) / (double) (1L << Integer.SIZE);
     }
 
     private double intervalMillis(TargetState target) {
@@ -45,6 +68,6 @@
         if (spec == null || spec.coldPerSecond() <= 0) {
             return 0;
         }
-        return MILLIS_PER_SECOND * Math.max(1, hosts.getAsInt()) / (spec.coldPerSecond() * SAFE_SHARE);
+        return MILLIS_PER_SECOND * hosts() / (spec.coldPerSecond() * SAFE_SHARE);
     }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetChoice.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetChoice.java
@@ -1,6 +1,5 @@
 package org.dragonflymux.core.balance;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -8,9 +7,15 @@
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 
-/** Chooses the target that is expected to answer first, for services whose requests any target may run. */
+/**
+ * Chooses the target that is expected to answer first, for services whose requests any target may run. In a large fleet each
+ * choice looks at a part of the targets, so that hosts with the same, somewhat old, picture don't all choose the same.
+ */
 public final class TargetChoice {
 
+    /** How many hosts may compete for the best target. */
+    private static final double COMPETING_HOSTS = 16;
+
     private static final int QUEUED_PER_TARGET = 1;
     private static final double OTHER_DOMAIN_MILLIS = 6;
     private static final double OTHER_DOMAIN_MILLIS_LARGE = 120;
@@ -42,14 +47,21 @@
      * @param largeAnswer whether the answer's way between failure domains matters
      */
     public Optional<TargetState> best(ServiceName service, Set<TargetId> excluded, boolean largeAnswer, long now) {
-        List<TargetState> candidates = directory.of(service);
+        double share = COMPETING_HOSTS / pacer.hosts();
+        Optional<TargetState> chosen = best(service, excluded, largeAnswer, share, now);
+        return chosen.isEmpty() && share < 1 ? best(service, excluded, largeAnswer, 1, now) : chosen;
+    }
+
+    private Optional<TargetState> best(
+            ServiceName service, Set<TargetId> excluded, boolean largeAnswer, double share, long now) {
         double guess = directory.meanServiceMillis(service);
         TargetState best = null;
         double bestScore = Double.MAX_VALUE;
-        for (TargetState target : candidates) {
-            if (!usable(target, now)
+        for (TargetState target : directory.of(service)) {
+            if (share < 1 && random.nextDouble() >= share
                     || excluded.contains(target.entry().id())
-                    || target.busy() >= target.entry().slots() + QUEUED_PER_TARGET) {
+                    || target.busy() >= target.entry().slots() + QUEUED_PER_TARGET
+                    || !usable(target, now)) {
                 continue;
             }
             double score = expectedMillis(target, guess, largeAnswer, now) + random.nextDouble() * TIE_MILLIS;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -20,6 +20,7 @@
 
     private final Map<TargetId, TargetState> targets = new HashMap<>();
     private final Map<ServiceName, List<TargetState>> byService = new HashMap<>();
+    private final Map<Integer, TargetState> byHash = new HashMap<>();
     private Set<FailureDomain> drainedDomains = Set.of();
 
     private TargetDirectory() {}
@@ -37,13 +38,16 @@
             put(entry, now);
         }
         targets.keySet().removeIf(id -> !present.contains(id));
+        byHash.values().removeIf(state -> targets.get(state.entry().id()) != state);
         index();
     }
 
     private void put(TargetEntry entry, long now) {
         TargetState known = targets.get(entry.id());
         if (known == null || known.entry().incarnation() != entry.incarnation()) {
-            targets.put(entry.id(), TargetState.of(entry, now));
+            TargetState state = TargetState.of(entry, now);
+            targets.put(entry.id(), state);
+            byHash.put(entry.id().hash(), state);
         } else if (!known.entry().equals(entry)) {
             known.update(entry, now);
         }
@@ -71,6 +75,11 @@
         return Optional.ofNullable(targets.get(id));
     }
 
+    /** Returns the target whose name has a hash. */
+    public Optional<TargetState> hashed(int hash) {
+        return Optional.ofNullable(byHash.get(hash));
+    }
+
     public List<TargetState> of(ServiceName service) {
         return byService.getOrDefault(service, List.of());
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -31,6 +31,7 @@
     private long heldDownUntil = Long.MIN_VALUE;
     private int slowdownPercent = 100;
     private long slowdownAt = Long.MIN_VALUE / 2;
+    private long coldSince;
     private long coldUntil;
     private long lastColdSend = Long.MIN_VALUE / 2;
     private int doneSinceReport;
@@ -38,6 +39,7 @@
 
     private TargetState(TargetEntry entry, long now) {
         this.entry = entry;
+        this.coldSince = now;
         this.coldUntil = now + entry.coldMillis();
     }
 
@@ -60,6 +62,9 @@
 
     /** Takes in that the target is cold. */
     public void becameCold(long millis, long now) {
+        if (!cold(now)) {
+            coldSince = now;
+        }
         coldUntil = Math.max(coldUntil, now + millis);
     }
 
@@ -67,6 +72,11 @@
         return now < coldUntil;
     }
 
+    /** Returns since when the target is cold, as far as known. */
+    public long coldSince() {
+        return coldSince;
+    }
+
     /** Returns when the host last sent a request while the target was cold. */
     public long lastColdSend() {
         return lastColdSend;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
@@ -8,12 +8,11 @@
 import org.dragonflymux.core.balance.TargetState;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
-import org.dragonflymux.core.name.TargetId;
 
 /** What the other hosts said last. */
 final class FleetView {
 
-    private static final long SILENT_MILLIS = 1_000;
+    private static final long LEAST_SILENT_MILLIS = 1_000;
 
     private final HostId self;
     private final TargetDirectory directory;
@@ -53,11 +52,16 @@
         return sum;
     }
 
+    /** Takes in a report; one that sums up all others replaces theirs. */
     void reported(PeerReport report, long now) {
+        if (report.included().containsKey(self)) {
+            heard.keySet().stream().filter(host -> !host.equals(report.from())).forEach(directory::forgetPeer);
+            heard.keySet().retainAll(Set.of(report.from()));
+        }
         Heard peer = heard.computeIfAbsent(report.from(), _ -> new Heard());
         forgetAbsent(peer.report, report);
         for (PeerReport.TargetUse use : report.targets()) {
-            directory.target(use.target()).ifPresent(state -> learn(state, use, report.from(), now));
+            directory.hashed(use.target()).ifPresent(state -> learn(state, use, report.from(), now));
         }
         peer.report = report;
         peer.at = now;
@@ -68,11 +72,11 @@
         if (before == null) {
             return;
         }
-        Set<TargetId> present = new HashSet<>();
+        Set<Integer> present = new HashSet<>();
         after.targets().forEach(use -> present.add(use.target()));
         for (PeerReport.TargetUse use : before.targets()) {
             if (!present.contains(use.target())) {
-                directory.target(use.target()).ifPresent(state -> state.forgetPeer(after.from()));
+                directory.hashed(use.target()).ifPresent(state -> state.forgetPeer(after.from()));
             }
         }
     }
@@ -87,11 +91,16 @@
         }
     }
 
-    /** Lets go of hosts that say nothing any more. */
-    void tick(long now) {
+    /**
+     * Lets go of hosts that say nothing any more.
+     *
+     * @param oldMillis after what time a report is old
+     */
+    void tick(long oldMillis, long now) {
+        long silentMillis = Math.max(LEAST_SILENT_MILLIS, oldMillis);
         heard.entrySet().removeIf(entry -> {
             Heard peer = entry.getValue();
-            if (now - peer.at < SILENT_MILLIS) {
+            if (now - peer.at < silentMillis) {
                 return false;
             }
             if (!peer.silent) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.dragonflymux.core.balance.ColdPacer;
 import org.dragonflymux.core.balance.LoadReport;
 import org.dragonflymux.core.balance.TargetChoice;
@@ -20,6 +21,7 @@
 import org.dragonflymux.core.desired.Route;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.desired.WeightedService;
+import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
@@ -28,6 +30,7 @@
 import org.dragonflymux.core.quota.LenderSeat;
 import org.dragonflymux.core.quota.RateDecision;
 import org.dragonflymux.core.quota.RateMessage;
+import org.dragonflymux.core.quota.RateUse;
 import org.dragonflymux.core.quota.Token;
 import org.dragonflymux.core.shard.KeyRange;
 import org.dragonflymux.core.shard.ShardTable;
@@ -51,6 +54,7 @@
     private final TargetDirectory directory = TargetDirectory.empty();
     private final FleetRates rates;
     private final FleetView fleet;
+    private final ReportSpread spread;
     private final ColdPacer pacer;
     private final TargetChoice choice;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -65,21 +69,27 @@
     private long confirmedAt = Long.MIN_VALUE / 2;
     private long sleptMillis;
     private long lastAttempt;
+    private long lastReport;
     private List<GatewayEffect> effects = new ArrayList<>();
 
-    private Gateway(GatewaySettings settings, RandomGenerator random) {
+    private Gateway(GatewaySettings settings, RandomGenerator random, long startedAt) {
         this.settings = settings;
         this.random = random;
-        this.rates = FleetRates.of(settings.host(), settings.incarnation());
+        this.rates = FleetRates.of(settings.host(), settings.incarnation(), startedAt);
         this.fleet = new FleetView(settings.host(), directory);
-        this.pacer = ColdPacer.of(fleet::hosts);
+        this.spread = ReportSpread.of(settings.host());
+        this.pacer = ColdPacer.of(settings.host(), fleet::hosts);
         this.choice = TargetChoice.of(directory, pacer, settings.domain(), random);
         this.waiting = new WaitingRequests(directory, choice, fleet);
     }
 
-    /** Returns the gateway of a host that knows nothing yet. */
-    public static Gateway of(GatewaySettings settings, RandomGenerator random) {
-        return new Gateway(settings, random);
+    /**
+     * Returns the gateway of a host that knows nothing yet.
+     *
+     * @param startedAt when the host's life began, at the latest
+     */
+    public static Gateway of(GatewaySettings settings, RandomGenerator random, long startedAt) {
+        return new Gateway(settings, random, startedAt);
     }
 
     public TargetDirectory directory() {
@@ -144,9 +154,11 @@
     }
 
     /** Takes in which hosts are registered. */
-    public void hosts(Set<HostId> registered) {
-        fleet.registered(registered);
-        rates.members(registered);
+    public void members(Collection<FleetMember> members, long now) {
+        Set<HostId> hosts = members.stream().map(FleetMember::host).collect(Collectors.toSet());
+        fleet.registered(hosts);
+        rates.members(hosts);
+        spread.members(members, now);
     }
 
     /** Takes in which hosts lend customers' tokens. */
@@ -164,6 +176,11 @@
         rates.lease(lease, until, now + sleptMillis);
     }
 
+    /** Returns what this host did with the tokens that it lends since the last call. */
+    public List<RateUse> rateUses() {
+        return rates.uses();
+    }
+
     /** Takes in what another host says about rates. */
     public List<GatewayEffect> told(RateMessage message, long now) {
         decide(rates.received(message, now + sleptMillis), now);
@@ -172,11 +189,26 @@
 
     /** Takes in what another host says. */
     public List<GatewayEffect> reported(PeerReport report, long now) {
-        fleet.reported(report, now);
+        spread.received(report, now).ifPresent(learnt -> fleet.reported(learnt, now));
         dispatchAll(now);
         return taken();
     }
 
+    /** Returns whether this host is to tell others how things are. */
+    public boolean reportDue(long now) {
+        return spread.due(now);
+    }
+
+    /**
+     * Returns a report of this host and those that it collects, and who is to have each.
+     *
+     * @param own this host's report
+     * @param grantor who is to know the keys that were requested
+     */
+    public List<ReportSpread.Outgoing> spread(PeerReport own, Optional<HostId> grantor, long now) {
+        return spread.spread(own, grantor, now);
+    }
+
     /** Returns what this host tells the others. */
     public PeerReport report(long now) {
         List<PeerReport.TargetUse> uses = new ArrayList<>();
@@ -187,7 +219,7 @@
             if (target.inFlight() > 0 || forOwner > 0 || done.count() > 0) {
                 long age = now - target.slowdownAt();
                 uses.add(new PeerReport.TargetUse(
-                        target.entry().id(),
+                        target.entry().id().hash(),
                         target.inFlight(),
                         forOwner,
                         done.count(),
@@ -200,7 +232,8 @@
         requestedKeys.forEach((service, list) ->
                 keys.put(service, list.stream().mapToInt(Integer::intValue).toArray()));
         requestedKeys.clear();
-        return new PeerReport(settings.host(), settings.incarnation(), uses, waiting.countByService(), keys);
+        return new PeerReport(
+                settings.host(), settings.incarnation(), ++lastReport, Map.of(), uses, waiting.countByService(), keys);
     }
 
     /** Takes in a request. */
@@ -562,7 +595,7 @@
 
     /** Does what is due. */
     public List<GatewayEffect> tick(long now) {
-        fleet.tick(now);
+        fleet.tick(spread.oldMillis(), now);
         decide(rates.tick(now + sleptMillis), now);
         while (!expiry.isEmpty() && (expiry.peek().done || expiry.peek().giveUpAt <= now)) {
             expired(expiry.poll());
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
@@ -4,41 +4,84 @@
 import java.util.Map;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
-import org.dragonflymux.core.name.TargetId;
 
 /**
- * What a host tells all others many times a second.
+ * What a host tells others many times a second, of itself or of the hosts whose reports it collects.
  *
  * @param from the host
  * @param incarnation its life
- * @param targets what it has at targets and saw of them
- * @param waiting how many requests wait there, by service
+ * @param sequence the number of the report in that life
+ * @param included which reports of which other hosts are summed up in it, by their numbers
+ * @param targets what there is at targets and was seen of them
+ * @param waiting how many requests wait, by service
  * @param keys shard keys requested since the last report, by service
  */
 public record PeerReport(
         HostId from,
         long incarnation,
+        long sequence,
+        Map<HostId, Long> included,
         List<TargetUse> targets,
         Map<ServiceName, Integer> waiting,
         Map<ServiceName, int[]> keys) {
 
+    /** Returns this without the keys that were requested. */
+    PeerReport withoutKeys() {
+        return new PeerReport(from, incarnation, sequence, included, targets, waiting, Map.of());
+    }
+
     /**
-     * What a host has at a target and saw of it.
+     * What there is at a target and was seen of it.
      *
-     * @param target the target
+     * @param target the hash of the target's name
      * @param inFlight requests at the target
-     * @param waiting requests that wait at the host for this target alone
+     * @param waiting requests that wait at the hosts for this target alone
      * @param done good answers since the last report
      * @param doneMillis their mean time at a target that runs them alone
      * @param slowdownPercent the target's own report, 100 is as usual
-     * @param slowdownAgeMillis how old that report is
+     * @param slowdownAgeMillis how old that report is, negative where there is none
      */
     public record TargetUse(
-            TargetId target,
+            int target,
             int inFlight,
             int waiting,
             int done,
             int doneMillis,
             int slowdownPercent,
-            int slowdownAgeMillis) {}
+            int slowdownAgeMillis) {
+
+        /** Returns what remains of this when what one host told of the target before is taken off. */
+        TargetUse without(TargetUse own) {
+            return new TargetUse(
+                    target,
+                    Math.max(0, inFlight - own.inFlight),
+                    Math.max(0, waiting - own.waiting),
+                    done,
+                    doneMillis,
+                    slowdownPercent,
+                    slowdownAgeMillis);
+        }
+
+        /** Returns this without what was seen of the target; only what there is at it. */
+        TargetUse present() {
+            return new TargetUse(target, inFlight, waiting, 0, 0, slowdownPercent, slowdownAgeMillis);
+        }
+
+        /** Returns the sum of both, with the younger of the target's own reports. */
+        TargetUse plus(TargetUse other) {
+            int count = done + other.done;
+            int mean =
+                    count == 0 ? 0 : (int) (((long) done * doneMillis + (long) other.done * other.doneMillis) / count);
+            boolean othersIsYounger = other.slowdownAgeMillis >= 0
+                    && (slowdownAgeMillis < 0 || other.slowdownAgeMillis < slowdownAgeMillis);
+            return new TargetUse(
+                    target,
+                    inFlight + other.inFlight,
+                    waiting + other.waiting,
+                    count,
+                    mean,
+                    othersIsYounger ? other.slowdownPercent : slowdownPercent,
+                    othersIsYounger ? other.slowdownAgeMillis : slowdownAgeMillis);
+        }
+    }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/name/TargetId.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/name/TargetId.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 
 /**
  * The name of a target, unique within its service.
@@ -25,6 +27,13 @@
         return new TargetId(value);
     }
 
+    /** Returns a hash that is the same on all hosts; two targets rarely share one. */
+    public int hash() {
+        return Hashing.murmur3_32_fixed()
+                .hashString(value, StandardCharsets.UTF_8)
+                .asInt();
+    }
+
     @Override
     public int compareTo(TargetId other) {
         return value.compareTo(other.value);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/FleetRates.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/FleetRates.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.dragonflymux.core.desired.CustomerSpec;
 import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
@@ -21,7 +23,11 @@
 
     private final HostId self;
     private final long incarnation;
+    private final long startedAt;
     private final TokenLender lender;
+    /** Tenures that followed one of this host's former life, which ended before this life began. */
+    private final Set<Long> takenBack = new HashSet<>();
+
     private final Map<CustomerName, TokenAccount> accounts = new HashMap<>();
     private final Map<Integer, LenderSeat> seats = new HashMap<>();
     private Map<CustomerName, CustomerSpec> customers = Map.of();
@@ -31,15 +37,20 @@
     private long tellAt = Long.MIN_VALUE;
     private List<RateMessage> outbox = new ArrayList<>();
 
-    private FleetRates(HostId self, long incarnation) {
+    private FleetRates(HostId self, long incarnation, long startedAt) {
         this.self = self;
         this.incarnation = incarnation;
+        this.startedAt = startedAt;
         this.lender = new TokenLender(self);
     }
 
-    /** Returns the part of a host's life that knows nothing yet. */
-    public static FleetRates of(HostId self, long incarnation) {
-        return new FleetRates(self, incarnation);
+    /**
+     * Returns the part of a host's life that knows nothing yet.
+     *
+     * @param startedAt when this life began, at the latest
+     */
+    public static FleetRates of(HostId self, long incarnation, long startedAt) {
+        return new FleetRates(self, incarnation, startedAt);
     }
 
     /** Replaces the customers. */
@@ -51,11 +62,26 @@
 
     /** Replaces the seats that are taken. */
     public void seats(Collection<LenderSeat> taken, long now) {
+        Map<Integer, LenderSeat> before = new HashMap<>(seats);
         seats.clear();
-        taken.forEach(seat -> seats.put(seat.number(), seat));
+        for (LenderSeat seat : taken) {
+            seats.put(seat.number(), seat);
+            LenderSeat predecessor = before.get(seat.number());
+            if (ofThisLife(seat) && predecessor != null && ofFormerLife(predecessor)) {
+                takenBack.add(seat.tenure());
+            }
+        }
         holds(now);
     }
 
+    private boolean ofThisLife(LenderSeat seat) {
+        return seat.holder().host().equals(self) && seat.holder().incarnation() == incarnation;
+    }
+
+    private boolean ofFormerLife(LenderSeat seat) {
+        return seat.holder().host().equals(self) && seat.holder().incarnation() < incarnation;
+    }
+
     /** Replaces the hosts that may pass a question on. */
     public void members(Collection<HostId> members) {
         relays = members.stream().filter(host -> !host.equals(self)).sorted().toList();
@@ -71,14 +97,13 @@
     }
 
     private void holds(long now) {
-        lender.holds(seats.values().stream().filter(this::mine).toList(), now);
+        lender.holds(
+                seats.values().stream().filter(this::mine).toList(),
+                seat -> takenBack.contains(seat.tenure()) ? startedAt : now);
     }
 
     private boolean mine(LenderSeat seat) {
-        return lease != 0
-                && seat.lease() == lease
-                && seat.holder().host().equals(self)
-                && seat.holder().incarnation() == incarnation;
+        return lease != 0 && seat.lease() == lease && ofThisLife(seat);
     }
 
     /** Returns what is to be sent, once. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/LenderElection.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/LenderElection.java
@@ -13,7 +13,8 @@
 
 /**
  * Which seats a host takes. A seat is free when its key has gone with its holder's lease, or when its holder's life has
- * surely ended. For each seat the hosts stand in another order; those behind wait longer.
+ * surely ended. A host takes its former life's seats back at once; for the others the hosts stand in an order that differs
+ * from seat to seat, and those behind wait longer.
  */
 public final class LenderElection {
 
@@ -71,9 +72,6 @@
      */
     public List<Claim> due(Map<HostId, FleetMember> members, long lease, long now) {
         settledAt = Math.min(settledAt, now + SETTLE_MILLIS);
-        if (now < settledAt) {
-            return List.of();
-        }
         List<Claim> claims = new ArrayList<>();
         for (int number = 0; number < LenderSeat.COUNT; number++) {
             Optional<LenderSeat> seat = Optional.ofNullable(seats.get(number));
@@ -81,8 +79,10 @@
                 freeSince.remove(number);
                 continue;
             }
-            long since = freeSince.computeIfAbsent(number, _ -> now);
-            if (now >= since + rank(number, members) * STAGGER_MILLIS) {
+            boolean formerlyOwn = seat.filter(held -> held.holder().host().equals(self.host()))
+                    .isPresent();
+            long since = freeSince.computeIfAbsent(number, _ -> Math.max(now, settledAt));
+            if (formerlyOwn || now >= since + rank(number, members) * STAGGER_MILLIS) {
                 claims.add(new Claim(number, seat.map(LenderSeat::tenure).orElse(0L)));
             }
         }
@@ -94,8 +94,8 @@
     }
 
     private boolean free(LenderSeat seat, Map<HostId, FleetMember> members, long lease) {
-        if (seat.holder().sameLife(self)) {
-            return seat.lease() != lease;
+        if (seat.holder().host().equals(self.host())) {
+            return !seat.holder().sameLife(self) || seat.lease() != lease;
         }
         FleetMember present = members.get(seat.holder().host());
         return present != null && present.incarnation() > seat.holder().incarnation();
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenLender.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenLender.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
 import org.dragonflymux.core.desired.CustomerSpec;
 import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
@@ -29,16 +30,20 @@
         this.self = self;
     }
 
-    /** Replaces the seats that this host holds. */
-    void holds(Collection<LenderSeat> seats, long now) {
+    /**
+     * Replaces the seats that this host holds.
+     *
+     * @param since tells since when nobody else has lent a seat's tokens
+     */
+    void holds(Collection<LenderSeat> seats, ToLongFunction<LenderSeat> since) {
         Map<Integer, LenderSeat> held = new HashMap<>();
         seats.forEach(seat -> held.put(seat.number(), seat));
         lendings.entrySet().removeIf(entry -> {
             LenderSeat seat = held.get(entry.getKey());
             return seat == null || seat.tenure() != entry.getValue().tenure();
         });
-        held.forEach((number, seat) ->
-                lendings.computeIfAbsent(number, _ -> new Lending(seat.tenure(), now, new HashMap<>())));
+        held.forEach((number, seat) -> lendings.computeIfAbsent(
+                number, _ -> new Lending(seat.tenure(), since.applyAsLong(seat), new HashMap<>())));
     }
 
     /** Takes in until when the lease surely holds. */
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -41,7 +41,7 @@
     private static final long LEASE = 7;
 
     private final Gateway gateway =
-            Gateway.of(new GatewaySettings(HostId.of("h"), 1, DOMAIN, WITHDRAWAL_MILLIS, 0.2, 50, 10_000), () -> 0L);
+            Gateway.of(new GatewaySettings(HostId.of("h"), 1, DOMAIN, WITHDRAWAL_MILLIS, 0.2, 50, 10_000), () -> 0L, 0);
     private long now = 1_000_000;
     private long exchange;
 
@@ -140,7 +140,7 @@
         @Test
         void refuses_without_a_desired_state_and_is_not_ready() {
             Gateway empty = Gateway.of(
-                    new GatewaySettings(HostId.of("h"), 1, DOMAIN, WITHDRAWAL_MILLIS, 0.2, 50, 10_000), () -> 0L);
+                    new GatewaySettings(HostId.of("h"), 1, DOMAIN, WITHDRAWAL_MILLIS, 0.2, 50, 10_000), () -> 0L, 0);
 
             assertThat(empty.ready(now)).isFalse();
             assertThat(reason(empty.arrived(
@@ -201,7 +201,7 @@
         @Test
         void reports_whose_age_can_not_be_told_do_not_prolong_credentials() {
             now += WITHDRAWAL_MILLIS;
-            gateway.reported(new PeerReport(HostId.of("other"), 1, List.of(), Map.of(), Map.of()), now);
+            gateway.reported(new PeerReport(HostId.of("other"), 1, 1, Map.of(), List.of(), Map.of(), Map.of()), now);
 
             assertThat(gateway.ready(now)).isFalse();
             assertThat(reason(arrive("/read/x"))).isEqualTo(RefusalReason.STALE_CREDENTIALS);
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RateFleet.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RateFleet.java
@@ -9,7 +9,6 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
 import org.dragonflymux.core.balance.TargetEntry;
@@ -40,7 +39,6 @@
     private static final long STORE_MILLIS = 20;
     private static final ServiceName SERVICE = ServiceName.of("s");
     private static final FailureDomain DOMAIN = FailureDomain.of("a");
-    private static final long REPORT_MILLIS = 100;
     private static final long TICK_MILLIS = 30;
     private static final long NEVER = Long.MAX_VALUE / 4;
     private static final int ENOUGH_SLOTS = 1_000_000;
@@ -101,7 +99,8 @@
             election = LenderElection.of(member());
             gateway = Gateway.of(
                     new GatewaySettings(id(), incarnation, DOMAIN, NEVER, 0.2, 50, 10_000),
-                    new SplittableRandom(random.nextLong()));
+                    new SplittableRandom(random.nextLong()),
+                    upSince);
             gateway.directory()
                     .replace(
                             List.of(new TargetEntry(
@@ -285,7 +284,7 @@
         if (now % STORE_MILLIS == host.number % STORE_MILLIS && !silent && !cutFromStore.test(host.number, now)) {
             callStore(host);
         }
-        if (now % REPORT_MILLIS == host.number % REPORT_MILLIS && !silent) {
+        if (!silent && host.gateway.reportDue(now)) {
             report(host);
         }
     }
@@ -299,15 +298,18 @@
         }
         leases.put(host.lease, now + LEASE_MILLIS);
         host.election.seats(List.copyOf(seats.values()));
-        for (LenderElection.Claim claim : host.election.due(Map.copyOf(registered), host.lease, now)) {
+        List<LenderElection.Claim> claims = host.election.due(Map.copyOf(registered), host.lease, now);
+        for (LenderElection.Claim claim : claims) {
             LenderSeat present = seats.get(claim.number());
             if ((present == null ? 0 : present.tenure()) == claim.expectedRevision()) {
                 seats.put(claim.number(), new LenderSeat(claim.number(), host.member(), host.lease, ++revision));
             }
         }
-        host.election.claimEnded(now);
+        if (!claims.isEmpty()) {
+            host.election.claimEnded(now);
+        }
         host.gateway.storeConfirmed(now);
-        host.gateway.hosts(Set.copyOf(registered.keySet()));
+        host.gateway.members(List.copyOf(registered.values()), now);
         host.gateway.lenders(List.copyOf(seats.values()), now);
         host.gateway.leaseHolds(host.lease, now + SAFE_LEASE_MILLIS, now);
     }
@@ -324,17 +326,26 @@
     }
 
     private void report(Host from) {
-        PeerReport report = from.gateway.report(now);
-        for (Host to : hosts) {
-            if (to != from && !lost(from, to)) {
-                deliver(to.number, 1 + random.nextLong(3), () -> run(to, to.gateway.reported(report, now)));
+        for (ReportSpread.Outgoing outgoing : from.gateway.spread(from.gateway.report(now), Optional.empty(), now)) {
+            for (HostId each : outgoing.to()) {
+                Host to = host(each);
+                if (!lost(from, to)) {
+                    deliver(
+                            to.number,
+                            1 + random.nextLong(3),
+                            () -> run(to, to.gateway.reported(outgoing.report(), now)));
+                }
             }
         }
     }
 
+    private Host host(HostId id) {
+        return hosts.get(Integer.parseInt(id.value().substring(1)));
+    }
+
     private void tell(Host from, GatewayEffect.Tell tell) {
         messages++;
-        Host to = hosts.get(Integer.parseInt(tell.to().value().substring(1)));
+        Host to = host(tell.to());
         if (!lost(from, to)) {
             deliver(to.number, 1 + random.nextLong(3), () -> run(to, to.gateway.told(tell.message(), now)));
         }
--- /dev/null
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/ReportSpreadTest.java
@@ -0,0 +1,161 @@
+package org.dragonflymux.core.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ReportSpreadTest {
+
+    private static final int HOSTS = 36;
+    private static final int TARGET = 77;
+    private static final ServiceName SERVICE = ServiceName.of("s");
+    private static final long INTERVAL_MILLIS = 100;
+
+    private final Map<HostId, ReportSpread> fleet = new HashMap<>();
+    private final Map<HostId, PeerReport> learnt = new HashMap<>();
+    private final List<FleetMember> members = new ArrayList<>();
+    private Optional<HostId> grantor = Optional.empty();
+    private Optional<HostId> dead = Optional.empty();
+    private long sequence;
+    private long now = 1_000;
+
+    private static HostId host(int number) {
+        return HostId.of(String.format("h%02d", number));
+    }
+
+    @BeforeEach
+    void aFleetInTwoDomains() {
+        for (int i = 0; i < HOSTS; i++) {
+            members.add(new FleetMember(host(i), 1, FailureDomain.of("d" + i % 2), "127.0.0.1:" + i));
+        }
+        for (FleetMember member : members) {
+            ReportSpread spread = ReportSpread.of(member.host());
+            spread.members(members, now);
+            fleet.put(member.host(), spread);
+        }
+    }
+
+    private PeerReport own(HostId host) {
+        return new PeerReport(
+                host,
+                1,
+                sequence,
+                Map.of(),
+                List.of(new PeerReport.TargetUse(TARGET, 2, 1, 1, 40, 150, 20)),
+                Map.of(SERVICE, 3),
+                Map.of(SERVICE, new int[] {7}));
+    }
+
+    /** Has each host report once; hosts of one fleet don't report at the same moment. */
+    private void round() {
+        sequence++;
+        for (int i = HOSTS - 1; i >= 0; i--) {
+            now += INTERVAL_MILLIS / HOSTS;
+            HostId from = host(i);
+            if (dead.filter(from::equals).isPresent()) {
+                continue;
+            }
+            for (ReportSpread.Outgoing outgoing : fleet.get(from).spread(own(from), grantor, now)) {
+                outgoing.to().forEach(to -> deliver(to, outgoing.report()));
+            }
+        }
+    }
+
+    private void deliver(HostId to, PeerReport report) {
+        if (!dead.filter(to::equals).isPresent()) {
+            fleet.get(to).received(report, now).ifPresent(seen -> learnt.put(to, seen));
+        }
+    }
+
+    private static PeerReport.TargetUse use(PeerReport report) {
+        return report.targets().getFirst();
+    }
+
+    private HostId collectorOf(HostId host) {
+        return ReportGroups.of(members).groupOf(host).getFirst();
+    }
+
+    @Test
+    void a_host_learns_what_all_others_have() {
+        round();
+        round();
+        round();
+
+        HostId ordinary = host(HOSTS - 1);
+        assertThat(collectorOf(ordinary)).isNotEqualTo(ordinary);
+        assertThat(use(learnt.get(ordinary)).inFlight()).isEqualTo(2 * (HOSTS - 1));
+        assertThat(use(learnt.get(ordinary)).waiting()).isEqualTo(HOSTS - 1);
+        assertThat(learnt.get(ordinary).waiting()).containsEntry(SERVICE, 3 * (HOSTS - 1));
+    }
+
+    @Test
+    void what_was_seen_at_targets_is_passed_on_once() {
+        round();
+        round();
+        round();
+        int before = use(learnt.get(host(HOSTS - 1))).done();
+        round();
+
+        assertThat(before).isEqualTo(HOSTS);
+        assertThat(use(learnt.get(host(HOSTS - 1))).done()).isEqualTo(HOSTS);
+    }
+
+    @Test
+    void the_grantor_alone_learns_of_the_keys_that_were_requested_of_others() {
+        grantor = Optional.of(host(HOSTS - 1));
+        round();
+        round();
+        round();
+
+        assertThat(learnt.get(host(HOSTS - 1)).keys().get(SERVICE)).hasSize(HOSTS - 1);
+        assertThat(learnt.get(host(HOSTS - 3)).keys()).isEmpty();
+    }
+
+    @Test
+    void a_group_whose_collector_is_lost_reports_to_the_next() {
+        round();
+        dead = Optional.of(collectorOf(host(HOSTS - 1)));
+        for (int i = 0; i < 8; i++) {
+            round();
+        }
+
+        int groupMates = ReportGroups.of(members).groupOf(host(HOSTS - 1)).size() - 2;
+        assertThat(use(learnt.get(host(HOSTS - 1))).inFlight()).isGreaterThanOrEqualTo(2 * groupMates);
+    }
+
+    @Test
+    void reports_that_come_twice_or_late_count_once() {
+        HostId collector = collectorOf(host(HOSTS - 1));
+        sequence = 5;
+        PeerReport report = own(host(HOSTS - 1));
+
+        assertThat(fleet.get(collector).received(report, now)).isPresent();
+        assertThat(fleet.get(collector).received(report, now)).isEmpty();
+    }
+
+    @Test
+    void hosts_of_a_large_fleet_report_less_often() {
+        ReportSpread spread = fleet.get(host(0));
+        assertThat(spread.due(now)).isTrue();
+        assertThat(spread.due(now + INTERVAL_MILLIS - 1)).isFalse();
+        assertThat(spread.due(now + 2 * INTERVAL_MILLIS)).isTrue();
+        List<FleetMember> large = new ArrayList<>(members);
+        for (int i = 0; i < 300; i++) {
+            large.add(new FleetMember(HostId.of("x" + i), 1, FailureDomain.of("d0"), "127.0.0.1:1"));
+        }
+        spread.members(large, now);
+
+        assertThat(spread.due(now + 4 * INTERVAL_MILLIS)).isTrue();
+        assertThat(spread.due(now + 13 * INTERVAL_MILLIS)).isFalse();
+    }
+}
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/WaitingRequestsTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/WaitingRequestsTest.java
@@ -36,7 +36,7 @@
     private final TargetDirectory directory = TargetDirectory.empty();
     private final WaitingRequests waiting = new WaitingRequests(
             directory,
-            TargetChoice.of(directory, ColdPacer.of(() -> 1), DOMAIN, () -> 0L),
+            TargetChoice.of(directory, ColdPacer.of(HostId.of("h"), () -> 1), DOMAIN, () -> 0L),
             new FleetView(HostId.of("h"), directory));
     private long last;
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/FleetRatesTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/FleetRatesTest.java
@@ -24,13 +24,17 @@
     private static final long LEASE = 3;
     private static final long START = 100_000;
 
-    private final FleetRates lender = FleetRates.of(LENDER, 1);
-    private final FleetRates borrower = FleetRates.of(BORROWER, 1);
+    private final FleetRates lender = FleetRates.of(LENDER, 2, START);
+    private final FleetRates borrower = FleetRates.of(BORROWER, 1, 0);
     private long now = START;
     private long request;
 
     private static List<LenderSeat> seats(long tenure) {
-        FleetMember holder = new FleetMember(LENDER, 1, FailureDomain.of("a"), "127.0.0.1:1");
+        return seats(tenure, 2);
+    }
+
+    private static List<LenderSeat> seats(long tenure, long incarnation) {
+        FleetMember holder = new FleetMember(LENDER, incarnation, FailureDomain.of("a"), "127.0.0.1:1");
         List<LenderSeat> result = new ArrayList<>();
         for (int number = 0; number < LenderSeat.COUNT; number++) {
             result.add(new LenderSeat(number, holder, LEASE, tenure));
@@ -131,6 +135,20 @@
             assertThat(take()).first().isInstanceOf(RateDecision.Admitted.class);
         }
 
+        /** Guards against seconds without service after all hosts were killed: their lenders waited for nobody. */
+        @Test
+        void a_seat_of_the_hosts_own_former_life_lends_from_its_start_on() {
+            FleetRates restarted = FleetRates.of(LENDER, 2, now);
+            restarted.customers(List.of(new CustomerSpec(CUSTOMER, OptionalInt.empty(), 10, 10)));
+            restarted.lease(LEASE, Long.MAX_VALUE, now);
+            restarted.seats(seats(1, 1), now);
+            now += TokenAccount.USABLE_MILLIS;
+            restarted.seats(seats(2, 2), now);
+            now += 100;
+
+            assertThat(restarted.take(CUSTOMER, 1, now)).first().isInstanceOf(RateDecision.Admitted.class);
+        }
+
         @Test
         void a_token_that_came_too_late_is_not_used_but_given_back() {
             borrower.take(CUSTOMER, 1, now);
@@ -158,7 +176,7 @@
                     .filter(message -> message.via().isPresent())
                     .findFirst()
                     .orElseThrow();
-            FleetRates third = FleetRates.of(THIRD, 1);
+            FleetRates third = FleetRates.of(THIRD, 1, 0);
             third.received(detour, now);
 
             assertThat(detour.via()).contains(THIRD);
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LenderElectionTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LenderElectionTest.java
@@ -101,14 +101,23 @@
         assertThat(claims).hasSize(LenderSeat.COUNT).allMatch(claim -> claim.expectedRevision() == 40 + claim.number());
     }
 
+    @Test
+    void seats_of_a_hosts_former_life_are_taken_back_at_once() {
+        LenderElection election = LenderElection.of(member("a", 2));
+        election.seats(allHeldBy(member("a", 1), 9));
+
+        assertThat(election.due(members(member("a", 2), member("b", 1)), LEASE, 0))
+                .hasSize(LenderSeat.COUNT);
+    }
+
     @Test
     void an_own_seat_that_is_bound_to_an_earlier_lease_is_taken_anew() {
         LenderElection election = LenderElection.of(member("a", 1));
         election.seats(allHeldBy(member("a", 1), LEASE - 1));
 
-        assertThat(settled(election, members(member("a", 1)))).hasSize(LenderSeat.COUNT);
+        assertThat(election.due(members(member("a", 1)), LEASE, 0)).hasSize(LenderSeat.COUNT);
         election.seats(allHeldBy(member("a", 1), LEASE));
-        election.claimEnded(SETTLED);
+        election.claimEnded(0);
         assertThat(election.due(members(member("a", 1)), LEASE, SETTLED + 1_000))
                 .isEmpty();
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -24,6 +25,7 @@
 import org.dragonflymux.core.desired.RequestLimits;
 import org.dragonflymux.core.gateway.Gateway;
 import org.dragonflymux.core.gateway.PeerReport;
+import org.dragonflymux.core.gateway.ReportSpread;
 import org.dragonflymux.core.membership.FeedChoice;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.membership.MembershipDuty;
@@ -33,6 +35,7 @@
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.quota.LenderSeat;
 import org.dragonflymux.core.quota.RateMessage;
+import org.dragonflymux.core.quota.RateUse;
 import org.dragonflymux.core.shard.ShardTable;
 import org.dragonflymux.gateway.caller.CallerServer;
 import org.dragonflymux.gateway.control.ControlLoop;
@@ -42,6 +45,7 @@
 import org.dragonflymux.gateway.http.PollAge;
 import org.dragonflymux.gateway.peer.PeerSocket;
 import org.dragonflymux.gateway.store.RecordDecoder;
+import org.dragonflymux.gateway.store.RevisionCache;
 import org.dragonflymux.gateway.store.StoreClient;
 import org.dragonflymux.gateway.store.StoreMirror;
 import org.dragonflymux.gateway.store.StoreRecord;
@@ -54,9 +58,10 @@
     private static final int MAX_ANSWER_BYTES = 64 << 20;
     private static final long TICK_MILLIS = 30;
     private static final long CONTROL_TICK_MILLIS = 50;
-    private static final long REPORT_MILLIS = 100;
+    private static final long REPORT_TICK_MILLIS = 20;
     private static final long FEED_TICK_MILLIS = 100;
     private static final long HEARTBEAT_MILLIS = 200;
+    private static final long RATE_LOG_MILLIS = 1_000;
     private static final long MARK_MILLIS = 200;
     private static final long WATCH_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
@@ -75,7 +80,7 @@
     private final EntryRetention retention = EntryRetention.empty();
     private final FeedChoice feed;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final Set<String> unreadable = new HashSet<>();
+    private final Map<HostId, InetSocketAddress> senders = new HashMap<>();
     private Map<HostId, InetSocketAddress> addresses = Map.of();
     private PeerSocket peerSocket;
     private StoreMirror mirror;
@@ -94,7 +99,7 @@
         this.decoder = decoder;
         this.store = stores.apply(loop);
         var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        this.gateway = Gateway.of(options.gateway(), random::nextLong);
+        this.gateway = Gateway.of(options.gateway(), random::nextLong, now());
         this.feed = FeedChoice.of(options.self());
         this.pool = ConnectionPool.on(loop, MAX_ANSWER_BYTES, news);
         this.requests = new RequestPath(gateway, pool, names, clock);
@@ -148,7 +153,7 @@
     }
 
     private void listen() {
-        peerSocket = PeerSocket.open(loop, options.peers(), this::peerReported, requests::told);
+        peerSocket = PeerSocket.open(loop, options.peers(), this::peerReported, this::told);
         requests.tells(this::tell);
         ReadinessServer.listen(loop, options.readiness(), () -> !stopping && gateway.ready(requestTime()));
         callers.listen(options.callers());
@@ -162,10 +167,11 @@
                 new MirrorListener());
         every(TICK_MILLIS, () -> requests.tick(TICK_MILLIS));
         every(CONTROL_TICK_MILLIS, this::controlTick);
-        every(REPORT_MILLIS, this::report);
+        every(REPORT_TICK_MILLIS, this::report);
         every(FEED_TICK_MILLIS, this::followFeed);
         every(HEARTBEAT_MILLIS, this::heartbeat);
         every(MARK_MILLIS, mirror::mark);
+        every(RATE_LOG_MILLIS, this::logRates);
         every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
         LOG.info(
                 "event=started host={} incarnation={}",
@@ -212,18 +218,54 @@
     }
 
     private void report() {
-        PeerReport report = gateway.report(requestTime());
-        control.requested(report.keys());
-        peerSocket.send(report, addresses.values());
+        if (!gateway.reportDue(requestTime())) {
+            return;
+        }
+        PeerReport own = gateway.report(requestTime());
+        control.requested(own.keys());
+        Optional<HostId> grantor = control.grantor().map(FleetMember::host);
+        for (ReportSpread.Outgoing outgoing : gateway.spread(own, grantor, requestTime())) {
+            peerSocket.send(
+                    outgoing.report(),
+                    outgoing.to().stream()
+                            .map(addresses::get)
+                            .filter(Objects::nonNull)
+                            .toList());
+        }
+    }
+
+    private void told(RateMessage message, InetSocketAddress sender) {
+        if (message.via().isEmpty()) {
+            senders.put(message.from(), sender);
+        }
+        requests.told(message);
     }
 
     private void tell(HostId to, RateMessage message) {
-        InetSocketAddress address = addresses.get(to);
+        // A host that the store refuses isn't registered, but asks others all the same.
+        InetSocketAddress address = addresses.getOrDefault(to, senders.get(to));
         if (address != null) {
             peerSocket.send(message, address);
         }
     }
 
+    private void logRates() {
+        for (RateUse use : gateway.rateUses()) {
+            if (use.denied() > 0) {
+                LOG.info(
+                        "event=rate_used_up customer={} rate={} burst={} lent={} givenBack={} denied={} tokens={} outstanding={}",
+                        use.customer(),
+                        use.ratePerSecond(),
+                        use.burst(),
+                        use.lent(),
+                        use.givenBack(),
+                        use.denied(),
+                        (long) use.tokens(),
+                        (long) use.outstanding());
+            }
+        }
+    }
+
     private void peerReported(PeerReport report) {
         control.requested(report.keys());
         requests.run(gateway.reported(report, requestTime()));
@@ -232,15 +274,18 @@
     /** Keeps the gateway's knowledge up with the store. */
     private final class MirrorListener implements StoreMirror.Listener {
 
+        private final RevisionCache<Optional<StoreRecord>> records = RevisionCache.of(this::decoded);
+
         @Override
         public void changed(Map<String, StoredItem> items) {
             Map<TargetId, TargetEntry> targets = new HashMap<>();
             Set<FailureDomain> drained = new HashSet<>();
             for (StoredItem item : items.values()) {
                 if (!item.key().startsWith(FleetRecords.PREFIX)) {
-                    decoded(item).ifPresent(found -> take(found, targets, drained));
+                    records.read(item).ifPresent(found -> take(found, targets, drained));
                 }
             }
+            records.retain(items.keySet());
             retention.present(targets, now());
             gateway.directory().replace(retention.entries(now()), requestTime());
             gateway.directory().drain(drained);
@@ -250,15 +295,8 @@
 
         private Optional<StoreRecord> decoded(StoredItem item) {
             return decoder.decode(item.key(), item.value())
-                    .peekLeft(error -> {
-                        if (unreadable.add(item.key() + "@" + item.revision())) {
-                            LOG.warn(
-                                    "event=record_unreadable key={} revision={} error={}",
-                                    item.key(),
-                                    item.revision(),
-                                    error);
-                        }
-                    })
+                    .peekLeft(error -> LOG.warn(
+                            "event=record_unreadable key={} revision={} error={}", item.key(), item.revision(), error))
                     .toJavaOptional();
         }
 
@@ -311,7 +349,7 @@
 
         @Override
         public void hosts(Map<HostId, FleetMember> members) {
-            gateway.hosts(members.keySet());
+            gateway.members(members.values(), requestTime());
             Map<HostId, InetSocketAddress> others = new HashMap<>();
             for (FleetMember member : members.values()) {
                 if (!member.host().equals(options.self().host())) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -26,6 +26,7 @@
 import org.dragonflymux.core.shard.GrantResult;
 import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.core.shard.ShardTable;
+import org.dragonflymux.gateway.store.RevisionCache;
 import org.dragonflymux.gateway.store.StoreClient;
 import org.dragonflymux.gateway.store.StoreError;
 import org.dragonflymux.gateway.store.StoredItem;
@@ -45,6 +46,9 @@
     private final LongSupplier clock;
     private final Observer observer;
     private final Map<ServiceName, GrantDuty> duties = new HashMap<>();
+    private final RevisionCache<Optional<FleetMember>> members =
+            RevisionCache.of(item -> FleetRecords.member(item.value()));
+    private final RevisionCache<Optional<LenderSeat>> seatRecords = RevisionCache.of(FleetRecords::seat);
     private final Map<ServiceName, Long> tableRevisions = new HashMap<>();
     private boolean leading;
     private boolean predecessorEnded;
@@ -122,20 +126,22 @@
         List<LenderSeat> seats = new ArrayList<>();
         for (StoredItem item : items.values()) {
             if (item.key().startsWith(FleetRecords.HOSTS)) {
-                FleetRecords.member(item.value()).ifPresent(member -> {
+                members.read(item).ifPresent(member -> {
                     present.add(member.host());
                     membership.member(member);
                 });
             } else if (item.key().equals(FleetRecords.GRANTOR)) {
                 grantor = Optional.of(item);
             } else if (item.key().equals(FleetRecords.LAST_GRANTOR)) {
-                lastGrantor = FleetRecords.member(item.value());
+                lastGrantor = members.read(item);
             } else if (item.key().startsWith(FleetRecords.SEATS)) {
-                FleetRecords.seat(item).ifPresent(seats::add);
+                seatRecords.read(item).ifPresent(seats::add);
             } else if (item.key().startsWith(FleetRecords.TABLES)) {
                 table(item);
             }
         }
+        members.retain(items.keySet());
+        seatRecords.retain(items.keySet());
         for (HostId host : List.copyOf(membership.members().keySet())) {
             if (!present.contains(host)) {
                 membership.memberGone(host);
@@ -143,7 +149,7 @@
         }
         membership.lastGrantor(lastGrantor);
         membership.grantor(
-                grantor.flatMap(item -> FleetRecords.member(item.value())),
+                grantor.flatMap(members::read),
                 grantor.map(StoredItem::revision).orElse(0L),
                 now);
         membership.synced(now);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -33,9 +34,17 @@
         this.channel = channel;
     }
 
-    /** Opens the socket. */
+    /**
+     * Opens the socket.
+     *
+     * @param reports takes reports
+     * @param rates takes messages about rates and the address that each came from
+     */
     public static PeerSocket open(
-            EventLoop loop, InetSocketAddress address, Consumer<PeerReport> reports, Consumer<RateMessage> rates) {
+            EventLoop loop,
+            InetSocketAddress address,
+            Consumer<PeerReport> reports,
+            BiConsumer<RateMessage, InetSocketAddress> rates) {
         Channel channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
@@ -52,7 +61,8 @@
                         byte[] bytes = ByteBufUtil.getBytes(packet.content());
                         switch (kind) {
                             case REPORT -> ReportCodec.decode(bytes).ifPresent(reports);
-                            case RATES -> RateCodec.decode(bytes).ifPresent(rates);
+                            case RATES ->
+                                RateCodec.decode(bytes).ifPresent(message -> rates.accept(message, packet.sender()));
                             default -> LOG.warn("event=peer_message_unknown kind={}", kind);
                         }
                     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
@@ -11,7 +11,6 @@
 import org.dragonflymux.core.gateway.PeerReport;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
-import org.dragonflymux.core.name.TargetId;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -21,7 +20,7 @@
 final class ReportCodec {
 
     private static final Logger LOG = LogManager.getLogger(ReportCodec.class);
-    private static final int FORMAT = 2;
+    private static final int FORMAT = 3;
     private static final int MAX_ENTRIES = 4_096;
 
     private ReportCodec() {}
@@ -31,9 +30,15 @@
             packer.packInt(FORMAT);
             packer.packString(report.from().value());
             packer.packLong(report.incarnation());
+            packer.packLong(report.sequence());
+            packer.packMapHeader(report.included().size());
+            for (Map.Entry<HostId, Long> each : report.included().entrySet()) {
+                packer.packString(each.getKey().value());
+                packer.packLong(each.getValue());
+            }
             packer.packArrayHeader(report.targets().size());
             for (PeerReport.TargetUse use : report.targets()) {
-                packer.packString(use.target().value());
+                packer.packInt(use.target());
                 packer.packInt(use.inFlight());
                 packer.packInt(use.waiting());
                 packer.packInt(use.done());
@@ -75,10 +80,15 @@
     private static PeerReport report(MessageUnpacker unpacker) throws IOException {
         HostId from = HostId.of(unpacker.unpackString());
         long incarnation = unpacker.unpackLong();
+        long sequence = unpacker.unpackLong();
+        Map<HostId, Long> included = new HashMap<>();
+        for (int i = size(unpacker.unpackMapHeader()); i > 0; i--) {
+            included.put(HostId.of(unpacker.unpackString()), unpacker.unpackLong());
+        }
         List<PeerReport.TargetUse> targets = new ArrayList<>();
         for (int i = size(unpacker.unpackArrayHeader()); i > 0; i--) {
             targets.add(new PeerReport.TargetUse(
-                    TargetId.of(unpacker.unpackString()),
+                    unpacker.unpackInt(),
                     unpacker.unpackInt(),
                     unpacker.unpackInt(),
                     unpacker.unpackInt(),
@@ -99,7 +109,7 @@
             }
             keys.put(service, list);
         }
-        return new PeerReport(from, incarnation, targets, waiting, keys);
+        return new PeerReport(from, incarnation, sequence, included, targets, waiting, keys);
     }
 
     private static int size(int announced) throws IOException {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/peer/ReportCodecTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/peer/ReportCodecTest.java
@@ -8,7 +8,6 @@
 import org.dragonflymux.core.gateway.PeerReport;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
-import org.dragonflymux.core.name.TargetId;
 import org.junit.jupiter.api.Test;
 
 class ReportCodecTest {
@@ -16,7 +15,9 @@
     private static final PeerReport REPORT = new PeerReport(
             HostId.of("h"),
             12,
-            List.of(new PeerReport.TargetUse(TargetId.of("t"), 3, 2, 5, 40, 300, 20)),
+            34,
+            Map.of(HostId.of("g"), 33L),
+            List.of(new PeerReport.TargetUse(77, 3, 2, 5, 40, 300, 20)),
             Map.of(ServiceName.of("s"), 4),
             Map.of(ServiceName.of("s"), new int[] {1, 65_535}));
 
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/peer/ReportTrafficOfLargeFleetsTest.java
@@ -0,0 +1,119 @@
+package org.dragonflymux.gateway.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.dragonflymux.core.gateway.PeerReport;
+import org.dragonflymux.core.gateway.ReportSpread;
+import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against SHORT: reports of each host to each other filled the links and processors of a fleet of 87 hosts. */
+class ReportTrafficOfLargeFleetsTest {
+
+    private static final int DOMAINS = 4;
+    private static final int TARGETS_PER_HOST = 3;
+    private static final int TARGETS_IN_USE = 8;
+    private static final int SECONDS = 6;
+    private static final int FIRST_COUNTED_SECOND = 3;
+    private static final int DATAGRAM_HEADER_BYTES = 28;
+    /** A tenth of the slowest link, 7 Mbit/s; the rest is for callers. */
+    private static final long MOST_BYTES_PER_SECOND = 87_500;
+    /** What control may cost a host of a large fleet. */
+    private static final long USUAL_BYTES_PER_SECOND = 5_000;
+
+    private final Map<HostId, ReportSpread> fleet = new HashMap<>();
+    private final Map<HostId, Long> sentBytes = new HashMap<>();
+    private final Map<HostId, Long> heardBytes = new HashMap<>();
+    private final SplittableRandom random = new SplittableRandom(5);
+    private long sequence;
+
+    private static List<FleetMember> members(int hosts) {
+        List<FleetMember> result = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            result.add(new FleetMember(
+                    HostId.of("front-domain-" + i), 1, FailureDomain.of("d" + i % DOMAINS), "127.0.0.1:" + i));
+        }
+        return result;
+    }
+
+    private PeerReport own(HostId host, int hosts) {
+        List<PeerReport.TargetUse> uses = new ArrayList<>();
+        for (int i = 0; i < TARGETS_IN_USE; i++) {
+            uses.add(new PeerReport.TargetUse(
+                    Integer.MAX_VALUE - random.nextInt(hosts * TARGETS_PER_HOST), 1, 0, 1, 400, 120, 50));
+        }
+        return new PeerReport(
+                host,
+                1,
+                ++sequence,
+                Map.of(),
+                uses,
+                Map.of(ServiceName.of("service"), 1),
+                Map.of(ServiceName.of("service"), new int[] {random.nextInt(65_536)}));
+    }
+
+    private void play(int hosts) {
+        List<FleetMember> members = members(hosts);
+        members.forEach(member -> {
+            ReportSpread spread = ReportSpread.of(member.host());
+            spread.members(members, 0);
+            fleet.put(member.host(), spread);
+        });
+        for (long now = 0; now < SECONDS * 1_000L; now++) {
+            for (FleetMember member : members) {
+                if (fleet.get(member.host()).due(now)) {
+                    report(member.host(), hosts, now);
+                }
+            }
+        }
+    }
+
+    private void report(HostId from, int hosts, long now) {
+        for (ReportSpread.Outgoing outgoing : fleet.get(from).spread(own(from, hosts), Optional.empty(), now)) {
+            long bytes = ReportCodec.encode(outgoing.report()).length + DATAGRAM_HEADER_BYTES;
+            for (HostId to : outgoing.to()) {
+                fleet.get(to).received(outgoing.report(), now);
+                if (now >= FIRST_COUNTED_SECOND * 1_000L) {
+                    sentBytes.merge(from, bytes, Long::sum);
+                    heardBytes.merge(to, bytes, Long::sum);
+                }
+            }
+        }
+    }
+
+    private static long mostPerSecond(Map<HostId, Long> bytes) {
+        return bytes.values().stream().mapToLong(Long::longValue).max().orElse(0) / (SECONDS - FIRST_COUNTED_SECOND);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {87, 300, 1_000})
+    void most_hosts_hear_no_more_than_control_may_cost(int hosts) {
+        play(hosts);
+        long middle = heardBytes.values().stream()
+                .sorted()
+                .skip(heardBytes.size() / 2)
+                .findFirst()
+                .orElseThrow();
+
+        assertThat(middle / (SECONDS - FIRST_COUNTED_SECOND)).isLessThanOrEqualTo(USUAL_BYTES_PER_SECOND);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {12, 87, 300, 1_000})
+    void no_host_spends_more_than_a_tenth_of_the_slowest_link(int hosts) {
+        play(hosts);
+
+        assertThat(mostPerSecond(sentBytes)).isLessThanOrEqualTo(MOST_BYTES_PER_SECOND);
+        assertThat(mostPerSecond(heardBytes)).isLessThanOrEqualTo(MOST_BYTES_PER_SECOND);
+    }
+}
