--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/ColdPacer.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/ColdPacer.java
@@ -1,7 +1,5 @@
 package org.dragonflymux.core.balance;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.function.IntSupplier;
 import org.dragonflymux.core.desired.ServiceSpec;
@@ -18,11 +16,11 @@
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final IntSupplier hosts;
-    private final HostId self;
+    private final HostShare share;
     private Map<ServiceName, ServiceSpec> services = Map.of();
 
     private ColdPacer(HostId self, IntSupplier hosts) {
-        this.self = self;
+        this.share = HostShare.of(self);
         this.hosts = hosts;
     }
 
@@ -36,6 +34,11 @@
         return new ColdPacer(self, hosts);
     }
 
+    /** Returns the numbers by which this host shares targets with others. */
+    HostShare share() {
+        return share;
+    }
+
     /** Returns how many hosts may send. */
     int hosts() {
         return Math.max(1, hosts.getAsInt());
@@ -52,15 +55,7 @@
             return true;
         }
         double interval = intervalMillis(target);
-        return now - target.lastColdSend() >= interval && now - target.coldSince() >= phase(target) * interval;
-    }
-
-    /** Returns which part of the first interval this host lets pass; hosts' parts are spread evenly. */
-    private double phase(TargetState target) {
-        int hash = Hashing.murmur3_32_fixed(target.entry().id().hash())
-                .hashString(self.value(), StandardCharsets.UTF_8)
-                .asInt();
-        return Integer.toUnsignedLong(hash) / (double) (1L << Integer.SIZE);
+        return now - target.lastColdSend() >= interval && now - target.coldSince() >= share.of(target) * interval;
     }
 
     private double intervalMillis(TargetState target) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetChoice.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetChoice.java
@@ -9,7 +9,8 @@
 
 /**
  * Chooses the target that is expected to answer first, for services whose requests any target may run. In a large fleet each
- * choice looks at a part of the targets, so that hosts with the same, somewhat old, picture don't all choose the same.
+ * host looks at a part of the targets first, the same at all times, so that hosts with one somewhat old picture don't all
+ * choose the same, and a host's connections are used again.
  */
 public final class TargetChoice {
 
@@ -58,7 +59,7 @@
         TargetState best = null;
         double bestScore = Double.MAX_VALUE;
         for (TargetState target : directory.of(service)) {
-            if (share < 1 && random.nextDouble() >= share
+            if (share < 1 && pacer.share().of(target) >= share
                     || excluded.contains(target.entry().id())
                     || target.busy() >= target.entry().slots() + QUEUED_PER_TARGET
                     || !usable(target, now)) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -47,7 +47,7 @@
         if (known == null || known.entry().incarnation() != entry.incarnation()) {
             TargetState state = TargetState.of(entry, now);
             targets.put(entry.id(), state);
-            byHash.put(entry.id().hash(), state);
+            byHash.put(state.nameHash(), state);
         } else if (!known.entry().equals(entry)) {
             known.update(entry, now);
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -19,6 +19,7 @@
     private static final long MAX_HOLD_DOWN_MILLIS = 3_000;
     private static final int MAX_HOLD_DOWN_DOUBLINGS = 3;
 
+    private final int nameHash;
     private TargetEntry entry;
     private int inFlight;
     private final Map<HostId, PeerUse> peers = new HashMap<>();
@@ -39,6 +40,7 @@
 
     private TargetState(TargetEntry entry, long now) {
         this.entry = entry;
+        this.nameHash = entry.id().hash();
         this.coldSince = now;
         this.coldUntil = now + entry.coldMillis();
     }
@@ -48,6 +50,11 @@
         return new TargetState(entry, now);
     }
 
+    /** Returns the hash of the target's name. */
+    public int nameHash() {
+        return nameHash;
+    }
+
     public TargetEntry entry() {
         return entry;
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -219,7 +219,7 @@
             if (target.inFlight() > 0 || forOwner > 0 || done.count() > 0) {
                 long age = now - target.slowdownAt();
                 uses.add(new PeerReport.TargetUse(
-                        target.entry().id().hash(),
+                        target.nameHash(),
                         target.inFlight(),
                         forOwner,
                         done.count(),
