--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -38,7 +38,8 @@
             put(entry, now);
         }
         targets.keySet().removeIf(id -> !present.contains(id));
-        byHash.values().removeIf(state -> targets.get(state.entry().id()) != state);
+        byHash.values()
+                .removeIf(state -> !state.equals(targets.get(state.entry().id())));
         index();
     }
 
