--- a/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/explain/RequestStory.java
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/explain/RequestStory.java
@@ -116,6 +116,8 @@
                 "credentials could not be trusted: the host had no news of the store"
                         + (beliefs.storeLostSince().isEmpty() ? "" : " since " + beliefs.storeLostSince());
             case OVER_RATE -> "the customer's rate over all hosts was used up";
+            case RATE_UNKNOWN ->
+                "no token could be had: the host that lends the customer's tokens gave no answer in time";
             case NO_SHARD_KEY -> "the request had no usable shard key";
             case OVERLOADED -> "the targets that may run it were expected to be busy for too long";
             case NO_TARGET -> "no target that may run it could be reached" + orNothing(failedTargets());
--- a/dragonflymux-ctl/src/test/java/org/dragonflymux/ctl/explain/RequestStoryTest.java
+++ b/dragonflymux-ctl/src/test/java/org/dragonflymux/ctl/explain/RequestStoryTest.java
@@ -50,6 +50,15 @@
             assertThat(cause("9e4c84282a17ac07")).isEqualTo("target i-beba7a7bba worked long on it");
         }
 
+        @Test
+        void of_a_refusal_without_a_lender_says_that_the_rate_is_not_known() {
+            List<String> lines =
+                    List.of("1.0 h INFO RequestPath event=request_refused id=x reason=RATE_UNKNOWN millis=600");
+
+            assertThat(RequestStory.of(lines, "x").report().rows().getLast().get(3))
+                    .contains("lends the customer's tokens");
+        }
+
         @Test
         void of_a_reason_from_a_later_release_are_not_made_up() {
             List<String> later =
