--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -55,7 +55,7 @@
 public final class GatewayProcess {
 
     private static final Logger LOG = LogManager.getLogger(GatewayProcess.class);
-    private static final int MAX_ANSWER_BYTES = 64 << 20;
+    private static final int MAX_ANSWER_BYTES = 16 << 20;
     private static final long TICK_MILLIS = 30;
     private static final long CONTROL_TICK_MILLIS = 50;
     private static final long REPORT_TICK_MILLIS = 20;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
@@ -16,6 +16,8 @@
 
     private static final long DEFAULT_IDLE_MILLIS = 4_000;
     private static final long IDLE_MARGIN_MILLIS = 700;
+    private static final int FINAL_STATUS = 200;
+    private static final int MAX_INTERIM_ANSWERS = 16;
     private static final String KEEP_ALIVE = "keep-alive";
     private static final Splitter PARAMETERS = Splitter.on(',').trimResults();
 
@@ -26,6 +28,7 @@
     private ChannelFuture writing;
     private long idleSince;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
+    private int interimAnswers;
     private boolean reset;
     private boolean closing;
 
@@ -51,6 +54,7 @@
 
     void send(Call next) {
         call = next;
+        interimAnswers = 0;
         call.on(context.channel());
         call.markSent();
         writing = context.writeAndFlush(next.request());
@@ -78,7 +82,8 @@
             answered.fail(CallFailure.BROKEN);
             return;
         }
-        if (answer.status().code() < 200) {
+        if (answer.status().code() < FINAL_STATUS) {
+            interim();
             return;
         }
         call = null;
@@ -88,6 +93,15 @@
         }
     }
 
+    /** Takes in an interim answer; a target that sends them without end answers nothing. */
+    private void interim() {
+        interimAnswers++;
+        if (interimAnswers > MAX_INTERIM_ANSWERS) {
+            call.fail(CallFailure.MALFORMED);
+            close();
+        }
+    }
+
     private void keepOrClose(FullHttpResponse answer) {
         if (!HttpUtil.isKeepAlive(answer) || !framed(answer)) {
             close();
