--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/ReportSpread.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/ReportSpread.java
@@ -5,8 +5,8 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -70,7 +70,7 @@
         List<HostId> before = groups.groupOf(self);
         groups = ReportGroups.of(members);
         hosts = Math.max(1, members.size());
-        Set<HostId> present = new LinkedHashSet<>();
+        Set<HostId> present = new HashSet<>();
         members.forEach(member -> present.add(member.host()));
         heard.keySet().retainAll(present);
         HostId collector = groups.groupOf(self).getFirst();
@@ -97,9 +97,7 @@
         return true;
     }
 
-    /**
-     * Takes in a report, and returns what this host learns from it: what there is and was seen at others.
-     */
+    /** Takes in a report, and returns what this host learns from it: what there is and was seen at others. */
     public Optional<PeerReport> received(PeerReport report, long now) {
         boolean ofOwnCollector = report.included().containsKey(self);
         if (ofOwnCollector) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -50,6 +50,7 @@
             RevisionCache.of(item -> FleetRecords.member(item.value()));
     private final RevisionCache<Optional<LenderSeat>> seatRecords = RevisionCache.of(FleetRecords::seat);
     private final Map<ServiceName, Long> tableRevisions = new HashMap<>();
+    private Map<HostId, FleetMember> toldHosts = Map.of();
     private boolean leading;
     private boolean predecessorEnded;
 
@@ -154,7 +155,10 @@
                 now);
         membership.synced(now);
         lenders.seats(seats);
-        observer.hosts(membership.members());
+        if (!membership.members().equals(toldHosts)) {
+            toldHosts = Map.copyOf(membership.members());
+            observer.hosts(toldHosts);
+        }
         observer.lenders(seats);
     }
 
