Ticks look at busy accounts only; where one request finds no target with room, the others aren't tried

Each tick looked at the accounts of all 86 customers and hashed their names, and each request that waited for any target with room searched all targets again.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -385,14 +385,21 @@
                     .thenComparingInt(this::inFlightOfCustomer)
                     .thenComparingLong(exchange -> exchange.arrivedAt));
         }
-        list.removeIf(exchange -> {
+        boolean room = true;
+        for (Exchange exchange : List.copyOf(list)) {
             if (exchange.done) {
-                return true;
+                list.remove(exchange);
+            } else if (room && now >= exchange.retryAt) {
+                Optional<TargetState> target = target(exchange, now);
+                if (target.isPresent()) {
+                    list.remove(exchange);
+                    send(exchange, target.get(), now);
+                } else {
+                    // Where one that may go anywhere finds no target, the others find none either.
+                    room = exchange.service.sharded() || !exchange.tried.isEmpty();
+                }
             }
-            Optional<TargetState> target = now < exchange.retryAt ? Optional.empty() : target(exchange, now);
-            target.ifPresent(state -> send(exchange, state, now));
-            return target.isPresent();
-        });
+        }
     }
 
     private int inFlightOfCustomer(Exchange exchange) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/FleetRates.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/FleetRates.java
@@ -29,6 +29,9 @@
     private final Set<Long> takenBack = new HashSet<>();
 
     private final Map<CustomerName, TokenAccount> accounts = new HashMap<>();
+    /** The accounts that need a look at each tick. */
+    private final Set<TokenAccount> busy = new HashSet<>();
+
     private final Map<Integer, LenderSeat> seats = new HashMap<>();
     private Map<CustomerName, CustomerSpec> customers = Map.of();
     private List<HostId> relays = List.of();
@@ -116,6 +119,7 @@
     /** Takes a token out for a request, or has it wait for one; the result may concern other requests too. */
     public List<RateDecision> take(CustomerName customer, long request, long now) {
         TokenAccount account = accounts.computeIfAbsent(customer, TokenAccount::new);
+        busy.add(account);
         account.arrived(now);
         Optional<Token> token = account.takeStocked(now);
         long dry = account.dryMillis(now);
@@ -132,7 +136,7 @@
     }
 
     private List<RateDecision> ask(TokenAccount account, long now) {
-        LenderSeat seat = seats.get(LenderSeat.of(account.customer()));
+        LenderSeat seat = seats.get(account.seat());
         if (seat == null) {
             return List.of();
         }
@@ -165,12 +169,18 @@
 
     /** Takes in that a token was used. */
     public void used(Token token) {
-        accounts.get(token.customer()).used(token);
+        account(token).used(token);
     }
 
     /** Takes back a token that was not used and won't be. */
     public void giveBack(Token token) {
-        accounts.get(token.customer()).giveBack(token.tenure(), 1);
+        account(token).giveBack(token.tenure(), 1);
+    }
+
+    private TokenAccount account(Token token) {
+        TokenAccount account = accounts.get(token.customer());
+        busy.add(account);
+        return account;
     }
 
     /** Takes in that a request doesn't wait for a token any more. */
@@ -200,6 +210,7 @@
         for (RateMessage.Loan loan : lend.loans()) {
             TokenAccount account = accounts.get(loan.customer());
             if (account != null) {
+                busy.add(account);
                 result.addAll(account.lent(loan, now));
                 result.addAll(ask(account, now));
             }
@@ -210,21 +221,22 @@
     /** Does what is due. */
     public List<RateDecision> tick(long now) {
         List<RateDecision> result = new ArrayList<>();
-        for (TokenAccount account : accounts.values()) {
+        for (TokenAccount account : busy) {
             result.addAll(account.overdue(PATIENCE_MILLIS, now));
             result.addAll(ask(account, now));
         }
         if (now >= tellAt) {
             tellAt = now + TELL_EVERY_MILLIS;
             tell(now);
+            busy.removeIf(TokenAccount::idle);
         }
         return result;
     }
 
     private void tell(long now) {
         Map<HostId, List<RateMessage.Demand>> byLender = new HashMap<>();
-        for (TokenAccount account : accounts.values()) {
-            LenderSeat seat = seats.get(LenderSeat.of(account.customer()));
+        for (TokenAccount account : busy) {
+            LenderSeat seat = seats.get(account.seat());
             if (seat != null) {
                 account.untold(now)
                         .ifPresent(
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
@@ -26,6 +26,7 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final CustomerName customer;
+    private final int seat;
     private final Deque<Batch> stock = new ArrayDeque<>();
     private final Deque<Parked> parked = new ArrayDeque<>();
     private final Set<Long> unanswered = new HashSet<>();
@@ -49,10 +50,17 @@
 
     TokenAccount(CustomerName customer) {
         this.customer = customer;
+        this.seat = LenderSeat.of(customer);
     }
 
-    CustomerName customer() {
-        return customer;
+    /** Returns the number of the seat that lends the customer's tokens. */
+    int seat() {
+        return seat;
+    }
+
+    /** Returns whether nothing waits, is in stock, is asked or is still to be told. */
+    boolean idle() {
+        return parked.isEmpty() && stock.isEmpty() && open.isEmpty() && told == used + returned;
     }
 
     /** Takes in a request, for the expected need. */
