--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayOptions.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayOptions.java
@@ -15,6 +15,7 @@
  * @param readiness where readiness is asked for
  * @param peers where other hosts' reports arrive
  * @param stopMillis how long a stop may take
+ * @param monotonicStart the monotonic clock when the process began, in milliseconds
  */
 public record GatewayOptions(
         FleetMember self,
@@ -23,4 +24,5 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress peers,
-        long stopMillis) {}
+        long stopMillis,
+        long monotonicStart) {}
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -99,7 +99,7 @@
         this.decoder = decoder;
         this.store = stores.apply(loop);
         var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        this.gateway = Gateway.of(options.gateway(), random::nextLong, now());
+        this.gateway = Gateway.of(options.gateway(), random::nextLong, options.monotonicStart());
         this.feed = FeedChoice.of(options.self());
         this.pool = ConnectionPool.on(loop, MAX_ANSWER_BYTES, news);
         this.requests = new RequestPath(gateway, pool, names, clock);
