--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RateFleet.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RateFleet.java
@@ -64,7 +64,6 @@
     private long exchanges;
     private long revision;
     private long lastLease;
-    private long messages;
 
     private record Delivery(long at, long number, int to, Runnable action) {}
 
@@ -344,18 +343,12 @@
     }
 
     private void tell(Host from, GatewayEffect.Tell tell) {
-        messages++;
         Host to = host(tell.to());
         if (!lost(from, to)) {
             deliver(to.number, 1 + random.nextLong(3), () -> run(to, to.gateway.told(tell.message(), now)));
         }
     }
 
-    /** Returns how many messages about rates were sent. */
-    long messages() {
-        return messages;
-    }
-
     /** Returns how many requests of a customer were refused. */
     int refused(String customer) {
         return refused.getOrDefault(customer, 0);
