Odd records in the store no longer stop a host from following it

Cause: addresses of targets and hosts were kept as text and parsed where they were used. A host record with a port out of range, without a port or with a name threw in the listener of the store's copy, after which no further watch was started: the host followed nothing until it was restarted, and those that it relays to with it.

A relay frame can't make its reader allocate more than 4 MB for a value. As a last resort an exception in the listener is logged and the host goes on following.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/SocketAddresses.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/SocketAddresses.java
@@ -12,10 +12,14 @@
     /**
      * Parses an address.
      *
-     * @throws IllegalArgumentException if the text is not an IP address with a port
+     * @throws IllegalArgumentException if the text is not an IP address with a port from 1 to 65535
      */
     public static InetSocketAddress parse(String text) {
         HostAndPort parsed = HostAndPort.fromString(text);
-        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
+        int port = parsed.getPortOrDefault(0);
+        if (port == 0) {
+            throw new IllegalArgumentException("an address needs a port from 1 to 65535");
+        }
+        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), port);
     }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -138,7 +138,7 @@
             } else if (item.key().startsWith(FleetRecords.LENDER_PARTITION_PREFIX)) {
                 lenderPartitionRecords.read(item).ifPresent(lenderPartitions::add);
             } else if (item.key().startsWith(FleetRecords.TABLE_PREFIX)) {
-                applyTable(item);
+                FleetRecords.serviceOfTable(item.key()).ifPresent(service -> applyTable(service, item));
             }
         }
         members.retain(items.keySet());
@@ -162,8 +162,7 @@
         listener.lenderPartitionsChanged(lenderPartitions);
     }
 
-    private void applyTable(StoredItem item) {
-        ServiceName service = ServiceName.of(item.key().substring(FleetRecords.TABLE_PREFIX.length()));
+    private void applyTable(ServiceName service, StoredItem item) {
         if (tableRevisions.getOrDefault(service, 0L) >= item.revision()) {
             return;
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
@@ -9,8 +9,10 @@
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.InvalidNameException;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.quota.LenderPartition;
+import org.dragonflymux.gateway.SocketAddresses;
 import org.dragonflymux.gateway.store.StoredItem;
 
 /** The gateway's own records in the store: their keys, and the JSON encoding of hosts and lender partitions. */
@@ -46,6 +48,15 @@
         return TABLE_PREFIX + service;
     }
 
+    /** Returns the service of a shard table's key; empty if the key names none. */
+    public static Optional<ServiceName> serviceOfTable(String key) {
+        try {
+            return Optional.of(ServiceName.of(key.substring(TABLE_PREFIX.length())));
+        } catch (InvalidNameException unknown) {
+            return Optional.empty();
+        }
+    }
+
     public static String lenderPartitionKey(int number) {
         return LENDER_PARTITION_PREFIX + number;
     }
@@ -82,11 +93,14 @@
     public static Optional<FleetMember> member(byte[] bytes) {
         try {
             JsonNode node = JSON.readTree(bytes);
+            String peerAddress = node.path("peer").asText();
+            // A record with an unusable address must not reach the code that sends to it.
+            SocketAddresses.parse(peerAddress);
             return Optional.of(new FleetMember(
                     HostId.of(node.path("host").asText()),
                     node.path("incarnation").asLong(),
                     FailureDomain.of(node.path("domain").asText()),
-                    node.path("peer").asText()));
+                    peerAddress));
         } catch (IOException | IllegalArgumentException unreadable) {
             return Optional.empty();
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/RelayFrame.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/RelayFrame.java
@@ -32,6 +32,9 @@
         long sinceRecoveryMillis,
         Optional<EchoTimestamp> echoTimestamp) {
 
+    /** Limits the memory that a malformed frame can make its reader allocate. */
+    private static final int MAX_VALUE_BYTES = 4 << 20;
+
     /**
      * A timestamp of the receiver, echoed by the sender of the frame.
      *
@@ -111,7 +114,11 @@
         if (unpacker.tryUnpackNil()) {
             return new StoreChange.Removed(key, revision);
         }
-        byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
+        int length = unpacker.unpackBinaryHeader();
+        if (length > MAX_VALUE_BYTES) {
+            throw new IOException("value too long: " + length);
+        }
+        byte[] value = unpacker.readPayload(length);
         return new StoreChange.Written(new StoredItem(key, value, revision));
     }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -156,7 +156,16 @@
         items.clear();
         all.forEach(item -> items.put(item.key(), item));
         revision = newRevision;
-        listener.valuesChanged(items);
+        notifyChanged();
+    }
+
+    /** Notifies the listener. A value that it can't handle must not stop this host from following later changes. */
+    private void notifyChanged() {
+        try {
+            listener.valuesChanged(items);
+        } catch (RuntimeException unexpected) {
+            LOG.error("event=update_failed revision={}", revision, unexpected);
+        }
     }
 
     private void confirm(long at) {
@@ -205,7 +214,7 @@
         }
         revision = Math.max(revision, changes.revision());
         if (!applied.isEmpty()) {
-            listener.valuesChanged(items);
+            notifyChanged();
             publish(applied);
         }
     }
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
@@ -0,0 +1,59 @@
+package org.dragonflymux.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.gateway.store.StoredItem;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against hosts that stop following the store because another writer left an odd record among their own. */
+class FleetRecordsTest {
+
+    private static final FleetMember MEMBER =
+            new FleetMember(HostId.of("front-1"), 7, FailureDomain.of("east"), "127.0.0.1:7100");
+
+    @Test
+    void a_member_is_decoded_as_it_was_encoded() {
+        assertThat(FleetRecords.member(FleetRecords.encode(MEMBER))).contains(MEMBER);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "[]",
+                "7",
+                "{",
+                "{\"host\":\"front-1\",\"incarnation\":7,\"domain\":\"east\"}",
+                "{\"host\":\"front-1\",\"incarnation\":7,\"domain\":\"east\",\"peer\":\"127.0.0.1:70000\"}",
+                "{\"host\":\"front-1\",\"incarnation\":7,\"domain\":\"east\",\"peer\":\"127.0.0.1\"}",
+                "{\"host\":\"front-1\",\"incarnation\":7,\"domain\":\"east\",\"peer\":\"front-1:80\"}",
+                "{\"host\":\"\",\"incarnation\":7,\"domain\":\"east\",\"peer\":\"127.0.0.1:80\"}",
+            })
+    void an_odd_record_is_no_member_and_no_lender(String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+
+        assertThat(FleetRecords.member(bytes)).isEmpty();
+        assertThat(FleetRecords.lenderPartition(new StoredItem(FleetRecords.LENDER_PARTITION_PREFIX + "1", bytes, 1)))
+                .isEmpty();
+    }
+
+    @Test
+    void a_record_under_an_odd_key_is_ignored() {
+        byte[] record = FleetRecords.encodeLenderPartition(MEMBER, 3);
+
+        assertThat(FleetRecords.lenderPartition(
+                        new StoredItem(FleetRecords.LENDER_PARTITION_PREFIX + "one", record, 1)))
+                .isEmpty();
+        assertThat(FleetRecords.serviceOfTable(FleetRecords.TABLE_PREFIX + "no such name"))
+                .isEmpty();
+        assertThat(FleetRecords.serviceOfTable(FleetRecords.TABLE_PREFIX + "orders"))
+                .contains(ServiceName.of("orders"));
+    }
+}
