Targets' answers: repeated ones, announced shutdowns and pauses

Two causes, in the same lines of the same classes.

TargetMessages.result believed "not run" (header or 421) before it looked at the request id. A target that writes an earlier refusal once more on a kept connection made a host tell its caller "not run" for a request that was running, or send it to a second target. A repeated success was never delivered to the wrong caller, but its connection went back to the pool one answer out of step, so that each later request on it was lost as well. Bytes behind an answer were seen only if they came after the connection was in use again. Change: nothing in a response counts unless it names the request. A response to another request is skipped, the caller gets its own answer that follows, and the connection is closed after it. A call completes when all bytes that came with its response were decoded; bytes that are left over end the connection. A request that goes to the same target again takes a new connection, since there a copy of its own earlier refusal would pass for the new answer. Shown: a refusal for request y was believed for request x on the code before (NotRun in place of Lost). TargetMessagesTest gave refusals without an id so far; targets echo it in all responses, so these now have one.

What targets say of themselves in answers was unknown: Server-Leaving and the Retry-After of a 503. Change: both are decoded once into TargetSignals. A leaving target gets nothing new until its incarnation ends, also if its entry still says ready or an old update brings it back, for which a target's state now outlives its entry; the owner of a key gets requests for half of the drain time. A paused target gets nothing until the pause ends, and then one request at a time until the first success. If all targets of a service are held back, or the owner of a key is, requests are refused at once with the time of the return, also those that were turned away before. Ruled out: leaving or pausing for the fleet in one, by reports; each host gets its own answer, and the users ask it so. Retry-After of a refusal is now never beyond the route's timeout; with no usable target it was the largest number.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -17,40 +17,69 @@
 public final class TargetDirectory {
 
     private static final double DEFAULT_SERVICE_MILLIS = 50;
+    /** How long the state of a target is kept after its entry was removed, in case an old update brings the entry back. */
+    private static final long REMOVED_RETENTION_MILLIS = 600_000;
 
     private final Map<TargetId, TargetState> targets = new HashMap<>();
+    private final Map<TargetId, RemovedTarget> removedTargets = new HashMap<>();
     private final Map<ServiceName, List<TargetState>> byService = new HashMap<>();
     private final Map<Integer, TargetState> byHash = new HashMap<>();
     private Set<FailureDomain> drainedDomains = Set.of();
 
+    private record RemovedTarget(TargetState state, long removedAt) {}
+
     private TargetDirectory() {}
 
     public static TargetDirectory empty() {
         return new TargetDirectory();
     }
 
-    /** Replaces the entries. A target keeps its state until its entry is removed or has a new incarnation. */
+    /**
+     * Replaces the entries. A target keeps its state until it has a new incarnation, also while its entry is missing: what
+     * it said about itself remains true if an old update brings the entry back.
+     */
     public void replace(Collection<TargetEntry> entries, long now) {
+        removedTargets.values().removeIf(removed -> now - removed.removedAt() > REMOVED_RETENTION_MILLIS);
         Set<TargetId> present = new HashSet<>();
         for (TargetEntry entry : entries) {
             present.add(entry.id());
             put(entry, now);
         }
-        targets.keySet().removeIf(id -> !present.contains(id));
+        removeAllExcept(present, now);
         byHash.values()
                 .removeIf(state -> !state.equals(targets.get(state.entry().id())));
         index();
     }
 
+    private void removeAllExcept(Set<TargetId> present, long now) {
+        for (TargetId id : List.copyOf(targets.keySet())) {
+            if (!present.contains(id)) {
+                TargetState state = targets.remove(id);
+                state.forgetPeers();
+                removedTargets.put(id, new RemovedTarget(state, now));
+            }
+        }
+    }
+
     private void put(TargetEntry entry, long now) {
-        TargetState existing = targets.get(entry.id());
+        TargetState existing = knownState(entry.id());
         if (existing == null || existing.entry().incarnation() != entry.incarnation()) {
-            TargetState state = TargetState.of(entry, now);
-            targets.put(entry.id(), state);
-            byHash.put(state.nameHash(), state);
+            existing = TargetState.of(entry, now);
         } else if (!existing.entry().equals(entry)) {
             existing.update(entry, now);
         }
+        removedTargets.remove(entry.id());
+        targets.put(entry.id(), existing);
+        byHash.put(existing.nameHash(), existing);
+    }
+
+    private TargetState knownState(TargetId id) {
+        TargetState present = targets.get(id);
+        if (present != null) {
+            return present;
+        }
+        RemovedTarget removed = removedTargets.get(id);
+        return removed == null ? null : removed.state();
     }
 
     private void index() {
@@ -88,8 +117,22 @@
         return targets.values();
     }
 
-    /** Returns whether neither the target itself nor its failure domain is draining. */
+    /** Returns whether neither the target itself nor its failure domain is draining, by its entry and its own answers. */
     public boolean acceptsNewWork(TargetState target) {
+        return target.leavingSince() == Long.MAX_VALUE && notDrained(target);
+    }
+
+    /**
+     * Returns whether a target may get requests for keys that it owns. No other target may run them, so an owner that is
+     * leaving gets them for a while longer.
+     *
+     * @param leavingGraceMillis for how long after its announcement a leaving owner gets requests
+     */
+    public boolean servesOwnedKeys(TargetState target, long leavingGraceMillis, long now) {
+        return now - leavingGraceMillis < target.leavingSince() && notDrained(target);
+    }
+
+    private boolean notDrained(TargetState target) {
         return !target.entry().draining()
                 && !drainedDomains.contains(target.entry().domain());
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetSelector.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetSelector.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.core.balance;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.dragonflymux.core.name.FailureDomain;
@@ -62,7 +63,7 @@
         for (TargetState target : directory.forService(service)) {
             if (candidateShare < 1 && pacer.hostTargetHash().fractionFor(target) >= candidateShare
                     || excluded.contains(target.entry().id())
-                    || target.totalInFlight() >= target.entry().slots() + MAX_QUEUED_PER_TARGET
+                    || !target.hasRoom(MAX_QUEUED_PER_TARGET)
                     || !usable(target, now)) {
                 continue;
             }
@@ -78,7 +79,27 @@
 
     /** Returns whether a target may get a request now, regardless of its free slots. */
     public boolean usable(TargetState target, long now) {
-        return directory.acceptsNewWork(target) && !target.heldDown(now) && pacer.admits(target, now);
+        return directory.acceptsNewWork(target) && mayReceive(target, now);
+    }
+
+    /** Returns whether the owner of a key may get a request for it now, regardless of its free slots. */
+    public boolean usableOwner(TargetState owner, long leavingGraceMillis, long now) {
+        return directory.servesOwnedKeys(owner, leavingGraceMillis, now) && mayReceive(owner, now);
+    }
+
+    private boolean mayReceive(TargetState target, long now) {
+        return !target.heldBack(now) && pacer.admits(target, now);
+    }
+
+    /**
+     * Returns how long until a target of the service may get requests again, in milliseconds; 0 if one may get them now,
+     * and empty if no target's return is foreseeable.
+     */
+    public OptionalLong millisUntilUsable(ServiceName service, long now) {
+        return directory.forService(service).stream()
+                .filter(directory::acceptsNewWork)
+                .mapToLong(target -> Math.max(0, target.heldBackUntil() - now))
+                .min();
     }
 
     private double expectedMillis(TargetState target, double defaultMillis, boolean largeAnswer, long now) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -18,6 +18,8 @@
     private static final long FIRST_HOLD_DOWN_MILLIS = 400;
     private static final long MAX_HOLD_DOWN_MILLIS = 3_000;
     private static final int MAX_HOLD_DOWN_DOUBLINGS = 3;
+    /** Limits the harm of a target that asks for an unreasonably long pause. */
+    private static final long MAX_PAUSE_MILLIS = 60_000;
 
     private final int nameHash;
     private TargetEntry entry;
@@ -29,12 +31,15 @@
     private double averageSlowdown = 1;
     private double failureRatio;
     private int consecutiveFailures;
-    private long heldDownUntil = Long.MIN_VALUE;
+    private long heldDownUntil = Long.MIN_VALUE / 2;
     private int slowdownPercent = 100;
     private long slowdownAt = Long.MIN_VALUE / 2;
     private long coldSince;
     private long coldUntil;
     private long lastColdSend = Long.MIN_VALUE / 2;
+    private long pausedUntil = Long.MIN_VALUE / 2;
+    private boolean resuming;
+    private long leavingSince = Long.MAX_VALUE;
     private int completionsSinceReport;
     private double completionMillisSinceReport;
 
@@ -121,6 +126,12 @@
         peersTotal = peersTotal.plus(count, waitingCount).minus(before);
     }
 
+    /** Drops the requests that all other hosts have reported. */
+    void forgetPeers() {
+        peers.clear();
+        peersTotal = PeerUse.NONE;
+    }
+
     /** Drops the requests that another host has reported. */
     public void forgetPeer(HostId peer) {
         peersTotal = peersTotal.minus(peers.remove(peer));
@@ -153,6 +164,7 @@
         completionsSinceReport++;
         completionMillisSinceReport += correctedMillis;
         consecutiveFailures = 0;
+        resuming = false;
         failureRatio -= failureRatio * FAILURE_SMOOTHING;
     }
 
@@ -177,8 +189,39 @@
         }
     }
 
-    public boolean heldDown(long now) {
-        return now < heldDownUntil;
+    /** Records that the target asked this host to send no requests for the given time. */
+    public void pause(long millis, long now) {
+        pausedUntil = Math.max(pausedUntil, now + Math.min(millis, MAX_PAUSE_MILLIS));
+        resuming = true;
+    }
+
+    /** Returns whether this host must not send requests now, because the target failed or asked for a pause. */
+    public boolean heldBack(long now) {
+        return now < heldBackUntil();
+    }
+
+    /** Returns until when this host must not send requests; a time in the past if it may send now. */
+    public long heldBackUntil() {
+        return Math.max(heldDownUntil, pausedUntil);
+    }
+
+    /**
+     * Returns whether the target has room for a request besides those that run, given how many requests may queue there.
+     * After a pause a host sends one request at a time until the first one succeeds, so that hosts whose pauses end at the
+     * same time do not overload the target again.
+     */
+    public boolean hasRoom(int maxQueued) {
+        return resuming ? inFlight == 0 : totalInFlight() < entry.slots() + maxQueued;
+    }
+
+    /** Records that the target announced its shutdown in an answer. This holds until its incarnation ends. */
+    public void markLeaving(long now) {
+        leavingSince = Math.min(leavingSince, now);
+    }
+
+    /** Returns when this host first heard that the target is leaving; far in the future if it has not. */
+    public long leavingSince() {
+        return leavingSince;
     }
 
     public double failureRatio() {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -7,14 +7,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.dragonflymux.core.balance.ColdPacer;
-import org.dragonflymux.core.balance.LoadReport;
 import org.dragonflymux.core.balance.TargetDirectory;
+import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.balance.TargetSelector;
+import org.dragonflymux.core.balance.TargetSignals;
 import org.dragonflymux.core.balance.TargetState;
 import org.dragonflymux.core.desired.CustomerSpec;
 import org.dragonflymux.core.desired.DesiredState;
@@ -80,7 +82,7 @@
         this.reportAggregator = ReportAggregator.of(settings.host());
         this.pacer = ColdPacer.of(settings.host(), fleet::hostCount);
         this.targetSelector = TargetSelector.of(directory, pacer, settings.domain(), random);
-        this.waiting = new WaitingRequests(directory, targetSelector, fleet);
+        this.waiting = new WaitingRequests(directory, targetSelector, fleet, settings.leavingGraceMillis());
     }
 
     /**
@@ -293,8 +295,9 @@
                     .add(exchange.shardKey());
         }
         retryBudget(service.name(), now).recordRequest();
-        if (waiting.ownerLost(exchange, now)) {
-            refuse(request, customer, RefusalReason.NO_TARGET, withJitter(RETRY_AFTER_UNAVAILABLE_MILLIS));
+        OptionalLong unavailableMillis = unavailableMillis(exchange, now);
+        if (unavailableMillis.isPresent()) {
+            refuse(request, customer, RefusalReason.NO_TARGET, withJitter(unavailableMillis.getAsLong()));
             return;
         }
         double expectedWaitMillis = waiting.expectedWaitMillis(exchange, now);
@@ -312,6 +315,18 @@
         applyRateDecisions(rateLimiter.acquire(customer.get().name(), request.exchange(), now + suspendedMillis), now);
     }
 
+    /** Returns when to retry a request that no target can run now, or empty if one can or may soon. */
+    private OptionalLong unavailableMillis(Exchange exchange, long now) {
+        if (exchange.service.sharded()) {
+            return waiting.millisUntilOwnerReturns(exchange, now);
+        }
+        OptionalLong untilUsable = targetSelector.millisUntilUsable(exchange.service.name(), now);
+        if (untilUsable.isEmpty()) {
+            return OptionalLong.of(RETRY_AFTER_UNAVAILABLE_MILLIS);
+        }
+        return untilUsable.getAsLong() > maxExpectedWaitMillis(exchange, now) ? untilUsable : OptionalLong.empty();
+    }
+
     private void enqueue(Exchange exchange, long now) {
         waiting.add(exchange);
         dispatch(exchange.service.name(), now);
@@ -364,8 +379,8 @@
     }
 
     private long retryAfterMillis(Exchange exchange, double expectedWaitMillis) {
-        return withJitter(
-                (long) Math.max(MIN_RETRY_AFTER_MILLIS, expectedWaitMillis - exchange.route.objectiveMillis() * 0.3));
+        double millis = Math.min(expectedWaitMillis, exchange.route.timeoutMillis());
+        return withJitter((long) Math.max(MIN_RETRY_AFTER_MILLIS, millis - exchange.route.objectiveMillis() * 0.3));
     }
 
     private long withJitter(long millis) {
@@ -419,19 +434,13 @@
         if (!exchange.service.sharded()) {
             return targetSelector.best(exchange.service.name(), exchange.tried, exchange.route.largeAnswers(), now);
         }
-        return waiting.assignmentOf(exchange)
-                .filter(assignment -> assignment.move().isEmpty())
-                .flatMap(assignment -> directory
-                        .target(assignment.owner())
-                        .filter(target -> target.entry().incarnation() == assignment.incarnation()))
-                .filter(target -> targetSelector.usable(target, now))
-                .filter(target -> target.totalInFlight() < target.entry().slots() + MAX_QUEUED_AT_OWNER);
+        return waiting.availableOwner(exchange, MAX_QUEUED_AT_OWNER, now);
     }
 
     private void send(Exchange exchange, TargetState target, long now) {
         exchange.waiting = false;
         exchange.attempts++;
-        exchange.tried.add(target.entry().id());
+        boolean resent = !exchange.tried.add(target.entry().id());
         exchange.token.ifPresent(rateLimiter::recordUsed);
         exchange.token = Optional.empty();
         target.sent(now);
@@ -445,12 +454,22 @@
                 target.entry(),
                 Math.max(1, exchange.deadline - now),
                 exchange.customer.map(CustomerSpec::name),
-                exchange.route.repeatable()));
+                exchange.route.repeatable(),
+                resent));
     }
 
-    /** Records the load that a target reported. */
-    public void loadReported(TargetId id, LoadReport report, long now) {
-        directory.target(id).ifPresent(target -> target.slowdownReported(report.slowdownPercent(), now));
+    /** Records what an incarnation of a target said about itself in an answer. */
+    public void signalsReceived(TargetEntry from, TargetSignals signals, long now) {
+        directory
+                .target(from.id())
+                .filter(target -> target.entry().incarnation() == from.incarnation())
+                .ifPresent(target -> {
+                    signals.load().ifPresent(load -> target.slowdownReported(load.slowdownPercent(), now));
+                    signals.pauseMillis().ifPresent(millis -> target.pause(millis, now));
+                    if (signals.leaving()) {
+                        target.markLeaving(now);
+                    }
+                });
     }
 
     /** Records that a target reported itself as cold. */
@@ -560,9 +579,10 @@
             waiting.add(exchange);
             return;
         }
-        long retryAfterMillis = Math.max(MIN_RETRY_AFTER_MILLIS, (long) waiting.expectedWaitMillis(exchange, now));
         closeWithRefusal(
-                exchange, exchange.mayHaveRun ? RefusalReason.LOST_ANSWER : reason, withJitter(retryAfterMillis));
+                exchange,
+                exchange.mayHaveRun ? RefusalReason.LOST_ANSWER : reason,
+                retryAfterMillis(exchange, waiting.expectedWaitMillis(exchange, now)));
     }
 
     private void closeWithRefusal(Exchange exchange, RefusalReason reason, long retryAfterMillis) {
@@ -636,10 +656,14 @@
     private void refuseUnservable(long now) {
         for (ServiceName service : waiting.services()) {
             for (Exchange exchange : List.copyOf(waiting.forService(service))) {
+                OptionalLong unavailableMillis = unavailableMillis(exchange, now);
                 double maxWaitMillis = exchange.route.objectiveMillis() * MAX_UNSENT_WAIT_SHARE;
-                boolean unservable = now - exchange.arrivedAt > maxWaitMillis || waiting.ownerLost(exchange, now);
-                if (unservable && exchange.attempts == 0) {
-                    closeWithRefusal(exchange, RefusalReason.NO_TARGET, withJitter(RETRY_AFTER_UNAVAILABLE_MILLIS / 2));
+                boolean overdue = exchange.attempts == 0 && now - exchange.arrivedAt > maxWaitMillis;
+                if (unavailableMillis.isPresent() || overdue) {
+                    closeWithRefusal(
+                            exchange,
+                            exchange.mayHaveRun ? RefusalReason.LOST_ANSWER : RefusalReason.NO_TARGET,
+                            withJitter(unavailableMillis.orElse(RETRY_AFTER_UNAVAILABLE_MILLIS / 2)));
                 }
             }
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewayEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewayEffect.java
@@ -19,6 +19,7 @@
      * @param remainingMillis the time left until the deadline
      * @param customer the customer, if the request has one
      * @param repeatable whether it may run more than once
+     * @param resent whether the request was sent to this target before
      */
     record Send(
             long attempt,
@@ -26,7 +27,8 @@
             TargetEntry target,
             long remainingMillis,
             Optional<CustomerName> customer,
-            boolean repeatable)
+            boolean repeatable,
+            boolean resent)
             implements GatewayEffect {}
 
     /**
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewaySettings.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param incarnation its incarnation
  * @param domain its failure domain
  * @param credentialRevocationMillis the time after which a revoked credential must no longer be accepted
+ * @param drainMillis for how long a target that is leaving may still get requests
  * @param retryRatio the share of a service's requests that may be retried
  * @param extraRetries additional retries of all hosts together per window
  * @param retryWindowMillis the length of the window
@@ -19,14 +20,22 @@
         long incarnation,
         FailureDomain domain,
         long credentialRevocationMillis,
+        long drainMillis,
         double retryRatio,
         double extraRetries,
         long retryWindowMillis) {
 
     private static final double SAFETY_FACTOR = 0.76;
+    /** Leaves time for requests that are on their way to a leaving target when its grace ends. */
+    private static final double LEAVING_GRACE_SHARE = 0.5;
 
     /** Returns how long credentials are trusted without updates from the store. */
     public long maxStaleMillis() {
         return (long) (credentialRevocationMillis * SAFETY_FACTOR);
     }
+
+    /** Returns how long the owner of a key gets requests after it announced that it is leaving. */
+    long leavingGraceMillis() {
+        return (long) (drainMillis * LEAVING_GRACE_SHARE);
+    }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/WaitingRequests.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/WaitingRequests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.dragonflymux.core.balance.TargetDirectory;
 import org.dragonflymux.core.balance.TargetSelector;
@@ -17,16 +18,27 @@
 /** The requests that wait at this host for a target, and their expected waiting times. */
 final class WaitingRequests {
 
+    /** When to retry requests for the keys of an owner that is lost or has left: the keys may have moved by then. */
+    private static final long MILLIS_UNTIL_MOVED = 500;
+
     private final TargetDirectory directory;
     private final TargetSelector targetSelector;
     private final FleetView fleet;
+    private final long leavingGraceMillis;
     private final Map<ServiceName, List<Exchange>> waiting = new HashMap<>();
     private final Map<ServiceName, ShardTable> tables = new HashMap<>();
 
-    WaitingRequests(TargetDirectory directory, TargetSelector targetSelector, FleetView fleet) {
+    /**
+     * Creates an empty queue.
+     *
+     * @param leavingGraceMillis for how long the owner of a key gets requests after it announced that it is leaving
+     */
+    WaitingRequests(
+            TargetDirectory directory, TargetSelector targetSelector, FleetView fleet, long leavingGraceMillis) {
         this.directory = directory;
         this.targetSelector = targetSelector;
         this.fleet = fleet;
+        this.leavingGraceMillis = leavingGraceMillis;
     }
 
     /** Replaces the table of the owners of a service's keys. */
@@ -121,18 +133,39 @@
         return table == null ? Optional.empty() : table.assignmentOf(exchange.shardKey());
     }
 
+    /** Returns the owner of a request's key if a request may be sent to it now. */
+    Optional<TargetState> availableOwner(Exchange exchange, int maxQueued, long now) {
+        return assignmentOf(exchange)
+                .filter(assignment -> assignment.move().isEmpty())
+                .flatMap(assignment -> directory
+                        .target(assignment.owner())
+                        .filter(target -> target.entry().incarnation() == assignment.incarnation()))
+                .filter(target -> targetSelector.usableOwner(target, leavingGraceMillis, now))
+                .filter(target -> target.hasRoom(maxQueued));
+    }
+
     /**
-     * Returns whether the owner of a request's key can't be reached. No other target may run the request until the owner's
-     * grants have expired and the key has moved.
+     * Returns when to retry a request that can't be served now: the owner of its key is missing, is held back or has left,
+     * and no other target may run it until the key has moved. Empty if the request may be served.
      */
-    boolean ownerLost(Exchange exchange, long now) {
-        return exchange.service.sharded()
-                && assignmentOf(exchange)
-                        .filter(assignment -> directory
-                                .target(assignment.owner())
-                                .map(target -> target.heldDown(now))
-                                .orElse(true))
-                        .isPresent();
+    OptionalLong millisUntilOwnerReturns(Exchange exchange, long now) {
+        if (!exchange.service.sharded()) {
+            return OptionalLong.empty();
+        }
+        Optional<Assignment> assignment = assignmentOf(exchange);
+        if (assignment.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        Optional<TargetState> owner = directory.target(assignment.get().owner());
+        boolean left =
+                owner.isEmpty() || now - leavingGraceMillis >= owner.get().leavingSince();
+        if (left) {
+            return OptionalLong.of(MILLIS_UNTIL_MOVED);
+        }
+        long heldBackMillis = owner.get().heldBackUntil() - now;
+        return heldBackMillis <= 0
+                ? OptionalLong.empty()
+                : OptionalLong.of(Math.max(heldBackMillis, MILLIS_UNTIL_MOVED));
     }
 
     /** Adds a request to those that wait for its service. */
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -41,7 +41,9 @@
     private static final long LEASE = 7;
 
     private final Gateway gateway = Gateway.of(
-            new GatewaySettings(HostId.of("h"), 1, DOMAIN, CREDENTIAL_REVOCATION_MILLIS, 0.2, 50, 10_000), () -> 0L, 0);
+            new GatewaySettings(HostId.of("h"), 1, DOMAIN, CREDENTIAL_REVOCATION_MILLIS, 2_000, 0.2, 50, 10_000),
+            () -> 0L,
+            0);
     private long now = 1_000_000;
     private long exchange;
 
@@ -140,7 +142,8 @@
         @Test
         void refuses_without_a_desired_state_and_is_not_ready() {
             Gateway empty = Gateway.of(
-                    new GatewaySettings(HostId.of("h"), 1, DOMAIN, CREDENTIAL_REVOCATION_MILLIS, 0.2, 50, 10_000),
+                    new GatewaySettings(
+                            HostId.of("h"), 1, DOMAIN, CREDENTIAL_REVOCATION_MILLIS, 2_000, 0.2, 50, 10_000),
                     () -> 0L,
                     0);
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RetryBudgetTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/RetryBudgetTest.java
@@ -12,7 +12,7 @@
     private static final double EXTRA = 62;
     private static final int WINDOW_MILLIS = 10_000;
     private static final GatewaySettings SETTINGS =
-            new GatewaySettings(HostId.of("h"), 1, FailureDomain.of("a"), 5_000, RATIO, EXTRA, WINDOW_MILLIS);
+            new GatewaySettings(HostId.of("h"), 1, FailureDomain.of("a"), 5_000, 2_000, RATIO, EXTRA, WINDOW_MILLIS);
 
     private static int spentInOneWindow(int hosts, int requests) {
         int spent = 0;
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/SimulatedFleet.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/SimulatedFleet.java
@@ -98,7 +98,7 @@
             lease = 0;
             election = LenderElection.of(member());
             gateway = Gateway.of(
-                    new GatewaySettings(id(), incarnation, DOMAIN, NEVER, 0.2, 50, 10_000),
+                    new GatewaySettings(id(), incarnation, DOMAIN, NEVER, 2_000, 0.2, 50, 10_000),
                     new SplittableRandom(random.nextLong()),
                     upSince);
             gateway.directory()
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/WaitingRequestsTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/WaitingRequestsTest.java
@@ -37,7 +37,8 @@
     private final WaitingRequests waiting = new WaitingRequests(
             directory,
             TargetSelector.of(directory, ColdPacer.of(HostId.of("h"), () -> 1), DOMAIN, () -> 0L),
-            new FleetView(HostId.of("h"), directory));
+            new FleetView(HostId.of("h"), directory),
+            1_000);
     private long lastExchange;
 
     private static TargetEntry target(String id, ServiceName service) {
@@ -107,14 +108,14 @@
     }
 
     @Test
-    void an_owner_is_lost_when_it_is_unreachable_or_not_registered() {
-        assertThat(waiting.ownerLost(request(SHARDED), NOW)).isFalse();
+    void an_owner_is_unavailable_when_it_is_unreachable_or_not_registered() {
+        assertThat(waiting.millisUntilOwnerReturns(request(SHARDED), NOW)).isEmpty();
         directory.target(TargetId.of("s")).orElseThrow().failed(true, NOW);
-        assertThat(waiting.ownerLost(request(SHARDED), NOW)).isTrue();
+        assertThat(waiting.millisUntilOwnerReturns(request(SHARDED), NOW)).isPresent();
 
         directory.replace(List.of(), NOW);
 
-        assertThat(waiting.ownerLost(request(SHARDED), NOW)).isTrue();
-        assertThat(waiting.ownerLost(request(POOLED), NOW)).isFalse();
+        assertThat(waiting.millisUntilOwnerReturns(request(SHARDED), NOW)).isPresent();
+        assertThat(waiting.millisUntilOwnerReturns(request(POOLED), NOW)).isEmpty();
     }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/HeaderNames.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/HeaderNames.java
@@ -16,6 +16,7 @@
  * @param notRun present if the target states that it did not run the request
  * @param load a target's load
  * @param coldMillis how much longer a target stays cold
+ * @param leaving present in all responses of a target that is shutting down
  * @param handover the token that a target hands over when it releases keys
  */
 public record HeaderNames(
@@ -30,6 +31,7 @@
         String notRun,
         String load,
         String coldMillis,
+        String leaving,
         String handover) {
 
     /** Returns the headers that are not forwarded to targets, because only the gateway sets or reads them. */
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -158,7 +158,12 @@
         OpenRequest open = openRequests.get(send.exchange());
         FullHttpRequest request = messages.request(open.request(), send);
         double maxIdleFraction = send.repeatable() ? MAX_IDLE_FRACTION : MAX_IDLE_FRACTION_NOT_REPEATABLE;
-        Call call = pool.call(endpoint(send), request, 0, maxIdleFraction, new CallListener() {
+        CallListener listener = new CallListener() {
+            @Override
+            public boolean accepts(FullHttpResponse response) {
+                return !messages.answersOtherRequest(response, open.requestId());
+            }
+
             @Override
             public void responseReceived(FullHttpResponse response) {
                 calls.remove(send.attempt());
@@ -175,7 +180,11 @@
             public boolean abandoned() {
                 return open.reply().callerDisconnected();
             }
-        });
+        };
+        // On the connection of its earlier attempt, a repeated copy of the earlier response would pass for the new one.
+        Call call = send.resent()
+                ? pool.callOnNewConnection(endpoint(send), request, listener)
+                : pool.call(endpoint(send), request, 0, maxIdleFraction, listener);
         calls.put(send.attempt(), call);
     }
 
@@ -187,8 +196,7 @@
 
     private void attemptAnswered(GatewayEffect.Send send, OpenRequest open, FullHttpResponse response) {
         long now = clock.monotonicMillis();
-        messages.load(response)
-                .ifPresent(load -> gateway.loadReported(send.target().id(), load, now));
+        gateway.signalsReceived(send.target(), messages.signals(response), now);
         AttemptResult result = messages.result(response, open.requestId());
         if (!(result instanceof AttemptResult.Answered(AttemptResult.Grade grade))
                 || grade != AttemptResult.Grade.SUCCESS) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/CallListener.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/CallListener.java
@@ -5,6 +5,15 @@
 /** Notified of the outcome of a call. Exactly one of the outcome methods is called, once, unless the call is cancelled. */
 public interface CallListener {
 
+    /**
+     * Returns whether a response belongs to the request. One that doesn't is skipped, and its connection is not used again.
+     *
+     * @param response the response
+     */
+    default boolean accepts(FullHttpResponse response) {
+        return true;
+    }
+
     /**
      * Handles the complete response. Its buffer is released after the method returns.
      *
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
@@ -17,24 +17,32 @@
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 4_000;
     private static final long IDLE_MARGIN_MILLIS = 700;
     private static final int MIN_FINAL_STATUS = 200;
-    private static final int MAX_INTERIM_RESPONSES = 16;
+    /** Limit on the responses to one request before the final one: interim ones and responses to other requests. */
+    private static final int MAX_SKIPPED_RESPONSES = 16;
+
     private static final String KEEP_ALIVE = "keep-alive";
     private static final Splitter PARAMETERS = Splitter.on(',').trimResults();
 
     private final ConnectionPool pool;
     private final Endpoint endpoint;
+    private final ResponseDecoder decoder;
     private ChannelHandlerContext context;
     private Call call;
+    /** The response to the call until all bytes that arrived with it were decoded. */
+    private FullHttpResponse pendingResponse;
+
     private ChannelFuture writing;
     private long idleSince;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
-    private int interimResponses;
+    private int skippedResponses;
+    private boolean outOfStep;
     private boolean reset;
     private boolean closing;
 
-    Connection(ConnectionPool pool, Endpoint endpoint) {
+    Connection(ConnectionPool pool, Endpoint endpoint, ResponseDecoder decoder) {
         this.pool = pool;
         this.endpoint = endpoint;
+        this.decoder = decoder;
     }
 
     Endpoint endpoint() {
@@ -43,6 +51,7 @@
 
     boolean usable(double maxIdleFraction) {
         return !closing
+                && !decoder.hasUndecodedBytes()
                 && context.channel().isActive()
                 && ConnectionPool.nowMillis() - idleSince < (idleTimeoutMillis - IDLE_MARGIN_MILLIS) * maxIdleFraction;
     }
@@ -54,7 +63,8 @@
 
     void send(Call next) {
         call = next;
-        interimResponses = 0;
+        skippedResponses = 0;
+        decoder.expectResponseTo(call.request().method());
         call.attach(context.channel());
         call.markSent();
         writing = context.writeAndFlush(next.request());
@@ -67,7 +77,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-        if (call == null || call.ended()) {
+        if (pendingResponse != null || call == null || call.ended()) {
             // Data received after the end of a response belongs to no call.
             close();
             return;
@@ -83,27 +93,51 @@
             return;
         }
         if (response.status().code() < MIN_FINAL_STATUS) {
-            countInterim();
+            countSkipped();
+            return;
+        }
+        if (!answeredCall.listener().accepts(response)) {
+            outOfStep = true;
+            countSkipped();
+            return;
+        }
+        pendingResponse = response.retain();
+    }
+
+    /** Completes the call only now, because bytes that follow its response rule out the reuse of the connection. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        completeCall();
+        ctx.fireChannelReadComplete();
+    }
+
+    private void completeCall() {
+        if (pendingResponse == null) {
             return;
         }
+        FullHttpResponse response = pendingResponse;
+        Call answeredCall = call;
+        pendingResponse = null;
         call = null;
         keepOrClose(response);
         if (answeredCall.end()) {
             answeredCall.listener().responseReceived(response);
         }
+        response.release();
     }
 
-    /** Counts an interim (1xx) response. A target that keeps sending them never gives a final response, so the call fails. */
-    private void countInterim() {
-        interimResponses++;
-        if (interimResponses > MAX_INTERIM_RESPONSES) {
+    /** Counts a response that is not the final one. A target that keeps sending them never answers, so the call fails. */
+    private void countSkipped() {
+        skippedResponses++;
+        if (skippedResponses > MAX_SKIPPED_RESPONSES) {
             call.fail(CallFailure.MALFORMED);
             close();
         }
     }
 
     private void keepOrClose(FullHttpResponse response) {
-        if (!HttpUtil.isKeepAlive(response) || !hasFraming(response)) {
+        boolean inStep = !closing && !outOfStep && !decoder.hasUndecodedBytes();
+        if (!inStep || !HttpUtil.isKeepAlive(response) || !hasFraming(response)) {
             close();
             return;
         }
@@ -141,6 +175,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        completeCall();
         reset |= cause instanceof IOException;
         if (call != null) {
             call.fail(cause instanceof IOException ? CallFailure.BROKEN : CallFailure.MALFORMED);
@@ -152,6 +187,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
         pool.closed(this);
+        completeCall();
         if (call != null) {
             call.fail(CallFailure.BROKEN);
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -9,9 +9,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -80,6 +80,13 @@
         return call;
     }
 
+    /** Sends a request without a timeout on a connection that has carried no other request. */
+    public Call callOnNewConnection(Endpoint endpoint, FullHttpRequest request, CallListener listener) {
+        Call call = new Call(request, listener);
+        pollTracker.whenFresh(loop, call::obsolete, () -> connect(endpoint, call));
+        return call;
+    }
+
     private void dispatch(Endpoint endpoint, double maxIdleFraction, Call call) {
         Connection connection = takeIdle(endpoint, maxIdleFraction);
         if (connection == null) {
@@ -103,7 +110,8 @@
     }
 
     private void connect(Endpoint endpoint, Call call) {
-        Connection connection = new Connection(this, endpoint);
+        ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
+        Connection connection = new Connection(this, endpoint, decoder);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -113,7 +121,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(DECODER_CONFIG, false, false))
+                                .addLast(decoder, new HttpRequestEncoder())
                                 .addLast(new HttpObjectAggregator(maxResponseBytes))
                                 .addLast(connection);
                     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/target/TargetMessages.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/target/TargetMessages.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.gateway.target;
 
 import com.google.common.base.Splitter;
+import com.google.common.primitives.Doubles;
 import com.google.common.primitives.Ints;
 import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
@@ -12,11 +13,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.dragonflymux.core.balance.LoadReport;
+import org.dragonflymux.core.balance.TargetSignals;
 import org.dragonflymux.core.gateway.AttemptResult;
 import org.dragonflymux.core.gateway.GatewayEffect;
 import org.dragonflymux.gateway.HeaderNames;
@@ -27,6 +30,7 @@
     private static final Splitter COMMA_SPLITTER = Splitter.on(',').trimResults();
     private static final int MISDIRECTED = 421;
     private static final int NORMAL_SLOWDOWN_PERCENT = 100;
+    private static final double MILLIS_PER_SECOND = 1000;
 
     private final HeaderNames names;
 
@@ -65,15 +69,23 @@
                 HttpVersion.HTTP_1_1, original.status(), body, headers, EmptyHttpHeaders.INSTANCE);
     }
 
+    /** Returns whether a response names another request, for example because a target sends an earlier response again. */
+    public boolean answersOtherRequest(FullHttpResponse response, String requestId) {
+        String answeredId = response.headers().get(names.requestId());
+        return answeredId != null && !answeredId.equals(requestId);
+    }
+
     /** Returns the result of an attempt, given the target's response and the id of the request. */
     public AttemptResult result(FullHttpResponse response, String requestId) {
+        // Nothing in a response counts, not even that the request was not run, unless it is the response to this
+        // request.
+        if (!requestId.equals(response.headers().get(names.requestId()))) {
+            return new AttemptResult.Lost(true);
+        }
         int status = response.status().code();
         if (response.headers().contains(names.notRun()) || status == MISDIRECTED) {
             return new AttemptResult.NotRun(status == MISDIRECTED);
         }
-        if (!requestId.equals(response.headers().get(names.requestId()))) {
-            return new AttemptResult.Lost(true);
-        }
         boolean sealed = response.headers().contains(names.seal());
         return switch (status / 100) {
             case 2 -> sealed ? new AttemptResult.Answered(AttemptResult.Grade.SUCCESS) : new AttemptResult.Lost(true);
@@ -93,6 +105,22 @@
         return List.of(408, 429).contains(status);
     }
 
+    /** Returns what the target says about itself in a response, whatever the result of the request is. */
+    public TargetSignals signals(FullHttpResponse response) {
+        return new TargetSignals(load(response), response.headers().contains(names.leaving()), pauseMillis(response));
+    }
+
+    private static OptionalLong pauseMillis(FullHttpResponse response) {
+        String value = response.headers().get(HttpHeaderNames.RETRY_AFTER);
+        if (value == null || !response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            return OptionalLong.empty();
+        }
+        Double seconds = Doubles.tryParse(value.trim());
+        return seconds == null || !(seconds > 0)
+                ? OptionalLong.empty()
+                : OptionalLong.of((long) (seconds * MILLIS_PER_SECOND));
+    }
+
     /** Returns the target's load, if the response reports it. */
     public Optional<LoadReport> load(FullHttpResponse response) {
         String value = response.headers().get(names.load());
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/target/TargetMessagesTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/target/TargetMessagesTest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import org.dragonflymux.core.balance.LoadReport;
 import org.dragonflymux.core.balance.TargetEntry;
@@ -38,6 +39,7 @@
             "Not-Run",
             "Load",
             "Cold",
+            "Leaving",
             "Hand");
 
     private final TargetMessages messages = TargetMessages.with(NAMES);
@@ -71,8 +73,9 @@
 
         @Test
         void a_request_counts_as_not_run_only_if_the_target_says_so() {
-            assertThat(messages.result(response(503, "Not-Run", "1"), "x")).isEqualTo(new AttemptResult.NotRun(false));
-            assertThat(messages.result(response(421), "x")).isEqualTo(new AttemptResult.NotRun(true));
+            assertThat(messages.result(response(503, "Id", "x", "Not-Run", "1"), "x"))
+                    .isEqualTo(new AttemptResult.NotRun(false));
+            assertThat(messages.result(response(421, "Id", "x"), "x")).isEqualTo(new AttemptResult.NotRun(true));
             for (int status : new int[] {408, 429, 503}) {
                 assertThat(messages.result(response(status, "Id", "x", "Seal", "s"), "x"))
                         .as("status %d", status)
@@ -80,6 +83,41 @@
             }
         }
 
+        /** Guards against telling a caller that its request has not run when a target repeats an earlier refusal. */
+        @Test
+        void a_refusal_of_another_request_or_without_an_id_says_nothing_about_this_one() {
+            assertThat(messages.result(response(503, "Id", "y", "Not-Run", "1"), "x"))
+                    .isEqualTo(new AttemptResult.Lost(true));
+            assertThat(messages.result(response(421, "Id", "y"), "x")).isEqualTo(new AttemptResult.Lost(true));
+            assertThat(messages.result(response(503, "Not-Run", "1"), "x")).isEqualTo(new AttemptResult.Lost(true));
+            assertThat(messages.answersOtherRequest(response(503, "Id", "y"), "x"))
+                    .isTrue();
+            assertThat(messages.answersOtherRequest(response(503), "x")).isFalse();
+        }
+
+        @Test
+        void a_pause_is_the_retry_time_of_a_503_in_seconds() {
+            assertThat(messages.signals(response(503, "Retry-After", "1.5")).pauseMillis())
+                    .hasValue(1_500);
+            assertThat(messages.signals(response(200, "Retry-After", "1.5")).pauseMillis())
+                    .isEmpty();
+            for (String unusable : List.of("soon", "-1", "NaN", "0", "")) {
+                assertThat(messages.signals(response(503, "Retry-After", unusable))
+                                .pauseMillis())
+                        .as(unusable)
+                        .isEmpty();
+            }
+        }
+
+        @Test
+        void a_target_may_announce_its_shutdown_in_any_response() {
+            assertThat(messages.signals(response(200, "Leaving", "1")).leaving())
+                    .isTrue();
+            assertThat(messages.signals(response(503, "Leaving", "1")).leaving())
+                    .isTrue();
+            assertThat(messages.signals(response(200)).leaving()).isFalse();
+        }
+
         @Test
         void a_load_with_a_fourth_number_includes_the_slowdown() {
             assertThat(messages.load(response(200, "Load", "3,1,8"))).contains(new LoadReport(3, 1, 8, 100));
@@ -120,7 +158,7 @@
                     .set("Other", "kept");
             TargetEntry target = new TargetEntry(
                     TargetId.of("t"), ServiceName.of("s"), "127.0.0.1:1", FailureDomain.of("a"), 3, false, 0, 1);
-            return messages.request(original, new GatewayEffect.Send(1, 1, target, 700, customer, false));
+            return messages.request(original, new GatewayEffect.Send(1, 1, target, 700, customer, false, false));
         }
 
         @Test
