An idle host wakes up less often, and collectors relay the store's updates

An idle host ran timers 115 times a second, each due or not. The grantor relayed each change to each host itself and got five echo timestamps a second from each; its own share of a core was three times the mean.

Change: timers for requests and for control run often only while something waits, a report's timer when the report is due; heartbeats and echo timestamps go 3.3 times a second. A host gets updates from the collector of its report group, the collector from the grantor; a silent collector is replaced by the grantor, then by the store. While there is no grantor only collectors watch the store. Leases are renewed each second in place of each 0.7 s; an unanswered renewal is repeated after 0.7 s, in time before the lease ends (before: after 1.5 s, at 2.2 s of 2.5). The test that asked for a renewal at 800 ms now asks for it at one second and, more strictly, for the repeat in time. Calls to the store and refusals are counted by kind and logged every 10 s, since rate-limited lines can't tell the causes of refusals apart.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -196,11 +196,26 @@
         return drainEffects();
     }
 
+    /** Returns the time until this host's next report is due, in milliseconds. */
+    public long millisUntilReport(long now) {
+        return reportAggregator.millisUntilDue(now);
+    }
+
     /** Returns whether this host's next report is due, and if so schedules the one after it. */
     public boolean reportDue(long now) {
         return reportAggregator.due(now);
     }
 
+    /** Returns the collector of this host's group, if it is another host. */
+    public Optional<FleetMember> collector() {
+        return reportAggregator.collector();
+    }
+
+    /** Returns whether requests wait for a target or a token. */
+    public boolean hasWaitingRequests() {
+        return rateLimiter.hasPendingRequests() || waiting.any();
+    }
+
     /**
      * Returns the reports to send, each with its recipients: this host's own, and aggregates of those that it collects.
      *
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/ReportAggregator.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/ReportAggregator.java
@@ -5,12 +5,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
@@ -40,8 +38,9 @@
     private final Map<HostId, ReceivedReport> receivedReports = new HashMap<>();
     private final Map<Long, PeerReport> sentReports = new LinkedHashMap<>();
     private ReportGroups groups = new ReportGroups(List.of());
+    private Map<HostId, FleetMember> members = Map.of();
     private int hostCount = 1;
-    private long nextReportAt = Long.MIN_VALUE;
+    private long nextReportAt = Long.MIN_VALUE / 2;
     private long collectorReportAt = Long.MIN_VALUE / 2;
     private Map<Integer, PeerReport.TargetUse> completionsInGroup = new HashMap<>();
     private Map<Integer, PeerReport.TargetUse> completionsElsewhere = new HashMap<>();
@@ -68,13 +67,14 @@
     }
 
     /** Replaces the fleet's hosts. */
-    public void replaceMembers(Collection<FleetMember> members, long now) {
+    public void replaceMembers(Collection<FleetMember> registered, long now) {
         List<HostId> before = groups.groupOf(self);
-        groups = ReportGroups.of(members);
-        hostCount = Math.max(1, members.size());
-        Set<HostId> present = new HashSet<>();
-        members.forEach(member -> present.add(member.host()));
-        receivedReports.keySet().retainAll(present);
+        groups = ReportGroups.of(registered);
+        hostCount = Math.max(1, registered.size());
+        Map<HostId, FleetMember> byHost = new HashMap<>();
+        registered.forEach(member -> byHost.put(member.host(), member));
+        members = byHost;
+        receivedReports.keySet().retainAll(members.keySet());
         HostId collector = groups.groupOf(self).getFirst();
         if (!collector.equals(before.getFirst())) {
             collectorReportAt = collector.equals(self) ? Long.MIN_VALUE / 2 : now;
@@ -85,11 +85,22 @@
         return Math.clamp(INTERVAL_MILLIS_PER_HOST * hostCount, MIN_INTERVAL_MILLIS, MAX_INTERVAL_MILLIS);
     }
 
+    /** Returns the collector of this host's group, if it is another host. */
+    Optional<FleetMember> collector() {
+        HostId first = groups.groupOf(self).getFirst();
+        return first.equals(self) ? Optional.empty() : Optional.ofNullable(members.get(first));
+    }
+
     /** Returns the age at which a report is stale. */
     long staleAfterMillis() {
         return STALE_AFTER_INTERVALS * intervalMillis();
     }
 
+    /** Returns the time until the next report of this host is due, in milliseconds. */
+    long millisUntilDue(long now) {
+        return Math.max(0, nextReportAt - now);
+    }
+
     /** Returns whether a report of this host is due, and if so schedules the next one. */
     public boolean due(long now) {
         if (now < nextReportAt) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/WaitingRequests.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/WaitingRequests.java
@@ -59,6 +59,11 @@
         return List.copyOf(waiting.keySet());
     }
 
+    /** Returns whether any request waits. */
+    boolean any() {
+        return waiting.values().stream().anyMatch(list -> !list.isEmpty());
+    }
+
     /** Returns how many requests wait for each service. */
     Map<ServiceName, Integer> countByService() {
         Map<ServiceName, Integer> result = new HashMap<>();
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -17,7 +17,10 @@
     public static final long LEASE_MILLIS = 2_500;
 
     private static final long CLOCK_MARGIN_MILLIS = 100;
-    private static final long RENEWAL_INTERVAL_MILLIS = 700;
+    private static final long RENEWAL_INTERVAL_MILLIS = 1_000;
+    /** Time after which an unanswered renewal is repeated; a second one still arrives before the lease ends. */
+    private static final long RENEWAL_REPEAT_MILLIS = 700;
+
     private static final long RETRY_DELAY_MILLIS = 300;
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
     private static final long CLAIM_STAGGER_MILLIS = 150;
@@ -134,7 +137,8 @@
         return registered() && !stopping;
     }
 
-    private boolean registered() {
+    /** Returns whether the store has the record of this incarnation, as far as known. */
+    public boolean registered() {
         return self.equals(members.get(self.host()));
     }
 
@@ -173,9 +177,13 @@
         if (now < nextLeaseCallAt || stopping) {
             return;
         }
-        nextLeaseCallAt = now + CALL_TIMEOUT_MILLIS;
-        effects.add(
-                lease == 0 ? new MembershipEffect.ObtainLease(LEASE_MILLIS) : new MembershipEffect.RenewLease(lease));
+        if (lease == 0) {
+            nextLeaseCallAt = now + CALL_TIMEOUT_MILLIS;
+            effects.add(new MembershipEffect.ObtainLease(LEASE_MILLIS));
+        } else {
+            nextLeaseCallAt = now + RENEWAL_REPEAT_MILLIS;
+            effects.add(new MembershipEffect.RenewLease(lease));
+        }
     }
 
     private void registerOrClaim(long now, List<MembershipEffect> effects) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
@@ -173,6 +173,11 @@
         return Optional.ofNullable(customers.get(customer));
     }
 
+    /** Returns whether requests wait for a token. */
+    public boolean hasPendingRequests() {
+        return activeAccounts.stream().anyMatch(TokenAccount::hasPendingRequests);
+    }
+
     /** Records that a token was used. */
     public void recordUsed(Token token) {
         account(token).recordUsed(token);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
@@ -63,6 +63,11 @@
         return pending.isEmpty() && stock.isEmpty() && openDemand.isEmpty() && reported == used + returned;
     }
 
+    /** Returns whether requests wait for a token. */
+    boolean hasPendingRequests() {
+        return !pending.isEmpty();
+    }
+
     /** Records the arrival of a request in the estimate of the arrival rate. */
     void recordArrival(long now) {
         double keep = Math.max(0, 1 - (double) (now - arrivedAt) / RATE_WINDOW_MILLIS);
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
@@ -54,7 +54,7 @@
     @Test
     void renews_the_lease_and_counts_its_validity_from_the_sending_of_the_call() {
         machine.leaseObtained(7, now);
-        now += 800;
+        now += 1_000;
 
         assertThat(machine.tick(now)).contains(new MembershipEffect.RenewLease(7));
         machine.leaseRenewed(now);
@@ -64,6 +64,19 @@
                 .isFalse();
     }
 
+    /** Guards against losing the lease, and the roles that depend on it, because of one lost answer. */
+    @Test
+    void repeats_an_unanswered_renewal_in_time_for_its_answer_to_arrive_before_the_lease_ends() {
+        machine.leaseObtained(7, now);
+        long latestUsefulCall = now + MembershipStateMachine.LEASE_MILLIS - 500;
+        int renewals = 0;
+        for (; now <= latestUsefulCall; now += 50) {
+            renewals += machine.tick(now).contains(new MembershipEffect.RenewLease(7)) ? 1 : 0;
+        }
+
+        assertThat(renewals).isEqualTo(2);
+    }
+
     @Nested
     class Claiming {
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/UpdateSourceSelectorTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/UpdateSourceSelectorTest.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class UpdateSourceSelectorTest {
@@ -70,4 +72,49 @@
         assertThat(selector.source(5_000)).isEmpty();
         assertThat(selector.source(8_000)).contains(GRANTOR);
     }
+
+    @Nested
+    class InALargeFleet {
+
+        private final FleetMember collector = member("collector");
+
+        @BeforeEach
+        void setUpCollectorAndGrantor() {
+            selector.grantorChanged(Optional.of(GRANTOR), 0);
+            selector.collectorChanged(Optional.of(collector), 0);
+        }
+
+        @Test
+        void subscribes_to_the_collector_of_its_group_and_not_to_the_grantor() {
+            assertThat(selector.source(0)).contains(collector);
+            selector.updatesReceived(900, 1_000);
+
+            assertThat(selector.mustWatchStore(1_000)).isFalse();
+        }
+
+        @Test
+        void subscribes_to_the_grantor_while_the_collector_is_silent() {
+            selector.mustWatchStore(1_500);
+
+            assertThat(selector.source(1_500)).contains(GRANTOR);
+            assertThat(selector.source(1_500 + 2_000)).contains(collector);
+        }
+
+        @Test
+        void still_follows_the_collector_while_there_is_no_grantor() {
+            selector.updatesReceived(900, 1_000);
+            selector.grantorChanged(Optional.empty(), 1_000);
+
+            assertThat(selector.source(1_100)).contains(collector);
+            assertThat(selector.mustWatchStore(1_100)).isFalse();
+        }
+
+        @Test
+        void follows_nobody_as_the_grantor() {
+            selector.grantorChanged(Optional.of(SELF), 0);
+
+            assertThat(selector.source(0)).isEmpty();
+            assertThat(selector.mustWatchStore(0)).isTrue();
+        }
+    }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -44,6 +44,7 @@
 import org.dragonflymux.gateway.http.ConnectionPool;
 import org.dragonflymux.gateway.http.PollTracker;
 import org.dragonflymux.gateway.peer.PeerSocket;
+import org.dragonflymux.gateway.store.CountingStoreClient;
 import org.dragonflymux.gateway.store.RecordDecoder;
 import org.dragonflymux.gateway.store.RevisionCache;
 import org.dragonflymux.gateway.store.StoreClient;
@@ -58,11 +59,13 @@
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
     private static final long TICK_MILLIS = 30;
     private static final long CONTROL_TICK_MILLIS = 50;
-    private static final long REPORT_TICK_MILLIS = 20;
-    private static final long UPDATE_SOURCE_TICK_MILLIS = 100;
-    private static final long HEARTBEAT_INTERVAL_MILLIS = 200;
+    /** Intervals while there is no work; each wake-up of an idle host costs processor time. */
+    private static final long IDLE_TICK_MILLIS = 100;
+
+    private static final long IDLE_CONTROL_TICK_MILLIS = 100;
+    private static final long RELAY_INTERVAL_MILLIS = 300;
     private static final long RATE_LOG_INTERVAL_MILLIS = 1_000;
-    private static final long ECHO_INTERVAL_MILLIS = 200;
+    private static final long COUNTS_LOG_INTERVAL_MILLIS = 10_000;
     private static final long WATCH_WAIT_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
     private static final RequestLimits LIMITS_WITHOUT_DESIRED_STATE = new RequestLimits(16_384, 1 << 20, 5_000, 15_000);
@@ -71,7 +74,7 @@
     private final GatewayOptions options;
     private final EventLoop loop;
     private final RecordDecoder decoder;
-    private final StoreClient store;
+    private final CountingStoreClient store;
     private final Gateway gateway;
     private final RequestPath requests;
     private final CallerServer callers;
@@ -97,7 +100,7 @@
         this.options = options;
         this.loop = loop;
         this.decoder = decoder;
-        this.store = stores.apply(loop);
+        this.store = CountingStoreClient.of(stores.apply(loop));
         var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         this.gateway = Gateway.of(options.gateway(), random::nextLong, options.monotonicStart());
         this.updateSourceSelector = UpdateSourceSelector.of(options.self());
@@ -166,13 +169,19 @@
                 clock,
                 relayAddress(options.peers()),
                 new MirrorListener());
-        every(TICK_MILLIS, () -> requests.tick(TICK_MILLIS));
-        every(CONTROL_TICK_MILLIS, this::controlTick);
-        every(REPORT_TICK_MILLIS, this::report);
-        every(UPDATE_SOURCE_TICK_MILLIS, this::applyUpdateSource);
-        every(HEARTBEAT_INTERVAL_MILLIS, this::heartbeat);
-        every(ECHO_INTERVAL_MILLIS, mirror::sendEchoTimestamp);
+        AdaptiveTimer requestTimer = AdaptiveTimer.start(
+                loop,
+                gateway::hasWaitingRequests,
+                TICK_MILLIS,
+                IDLE_TICK_MILLIS,
+                interval -> guarded(() -> requests.tick(interval)));
+        requests.onArrival(requestTimer::wake);
+        AdaptiveTimer.start(
+                loop, control::busy, CONTROL_TICK_MILLIS, IDLE_CONTROL_TICK_MILLIS, _ -> guarded(this::controlTick));
+        scheduleReport();
+        every(RELAY_INTERVAL_MILLIS, this::keepRelayAlive);
         every(RATE_LOG_INTERVAL_MILLIS, this::logLending);
+        every(COUNTS_LOG_INTERVAL_MILLIS, this::logCounts);
         every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
         LOG.info(
                 "event=started host={} incarnation={}",
@@ -181,17 +190,16 @@
     }
 
     private void every(long millis, Runnable action) {
-        loop.scheduleWithFixedDelay(
-                () -> {
-                    try {
-                        action.run();
-                    } catch (RuntimeException failure) {
-                        LOG.error("event=timer_failed", failure);
-                    }
-                },
-                millis,
-                millis,
-                TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> guarded(action), millis, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs the action of a timer; an unexpected failure must not end the timer. */
+    private static void guarded(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException failure) {
+            LOG.error("event=timer_failed", failure);
+        }
     }
 
     private void controlTick() {
@@ -199,6 +207,7 @@
             gateway.directory().replace(retention.entries(now()), requestTime());
         }
         control.tick();
+        applyUpdateSource();
     }
 
     /** Returns the address on which a host relays updates of the store: the port after the one for reports. */
@@ -207,6 +216,7 @@
     }
 
     private void applyUpdateSource() {
+        updateSourceSelector.collectorChanged(gateway.collector(), now());
         boolean watchStore = updateSourceSelector.mustWatchStore(now());
         mirror.setUpdateSources(
                 watchStore,
@@ -215,12 +225,25 @@
                         .map(source -> relayAddress(SocketAddresses.parse(source.peerAddress()))));
     }
 
-    private void heartbeat() {
+    /** Confirms to subscribers that there are no newer changes, or tells the source of updates the time of this host. */
+    private void keepRelayAlive() {
         if (control.leading()) {
             mirror.sendHeartbeat();
+        } else {
+            mirror.sendEchoTimestamp();
         }
     }
 
+    private void scheduleReport() {
+        loop.schedule(
+                () -> {
+                    guarded(this::report);
+                    scheduleReport();
+                },
+                gateway.millisUntilReport(requestTime()),
+                TimeUnit.MILLISECONDS);
+    }
+
     private void report() {
         if (!gateway.reportDue(requestTime())) {
             return;
@@ -270,6 +293,19 @@
         }
     }
 
+    private void logCounts() {
+        LOG.info("event=refusals reasons={}", requests.drainRefusals());
+        CountingStoreClient.Counts counts = store.drainCounts();
+        LOG.info(
+                "event=store_calls reads={} watches={} writes={} leases={} renewals={} failed={}",
+                counts.reads(),
+                counts.watches(),
+                counts.writes(),
+                counts.leases(),
+                counts.renewals(),
+                counts.failed());
+    }
+
     private void reportReceived(PeerReport report) {
         control.recordKeyRequests(report.keys());
         requests.run(gateway.peerReportReceived(report, requestTime()));
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -49,6 +50,7 @@
     private final RateLimitedLog log = new RateLimitedLog(LogManager.getLogger(RequestPath.class));
     private final Map<Long, OpenRequest> openRequests = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
+    private final Map<RefusalReason, Integer> refusals = new EnumMap<>(RefusalReason.class);
     private long lastExchange;
     private long lastTickAt;
     private long lagMillis;
@@ -56,6 +58,7 @@
     private long suspendedMillis;
     private FullHttpResponse currentResponse;
     private BiConsumer<HostId, RateMessage> rateMessageSender = (_, _) -> {};
+    private Runnable arrivalAction = () -> {};
 
     private record OpenRequest(FullHttpRequest request, CallerReply reply, String requestId, long receivedAt) {}
 
@@ -72,6 +75,11 @@
         rateMessageSender = sender;
     }
 
+    /** Sets the action to run after the arrival of each request. */
+    void onArrival(Runnable action) {
+        arrivalAction = action;
+    }
+
     /** Handles a rate message from another host. */
     void rateMessageReceived(RateMessage message) {
         recordSuspension();
@@ -101,6 +109,7 @@
         // Upper bound on the time that the request waited on this host before and after it was read.
         long ageMillis = now - reply.readAt() + Math.max(lagMillis, now - lastTickAt - maxLoopMillis);
         run(gateway.requestArrived(arrivedRequest(exchange, id, request, Math.max(0, ageMillis)), now));
+        arrivalAction.run();
     }
 
     private ArrivedRequest arrivedRequest(long exchange, String id, FullHttpRequest request, long ageMillis) {
@@ -253,6 +262,7 @@
         if (open == null) {
             return;
         }
+        refusals.merge(refuse.reason(), 1, Integer::sum);
         log.info(
                 "event=request_refused id={} reason={} customer={} retryAfterMillis={} millis={}",
                 open.requestId(),
@@ -287,6 +297,13 @@
         };
     }
 
+    /** Returns the refusals since the last call by reason, and resets them. */
+    Map<RefusalReason, Integer> drainRefusals() {
+        Map<RefusalReason, Integer> result = new EnumMap<>(refusals);
+        refusals.clear();
+        return result;
+    }
+
     /** Returns the number of requests that are not answered yet. */
     int openRequests() {
         return openRequests.size();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -365,6 +365,11 @@
         return membership.grantor();
     }
 
+    /** Returns whether this host grants keys or is not registered yet, so that its effects must not be delayed. */
+    public boolean busy() {
+        return leading || !membership.registered();
+    }
+
     public boolean leading() {
         return leading;
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -195,8 +195,9 @@
         // A watch that ended without changes shows that there were none until its end.
         boolean unchanged = changes.changes().isEmpty();
         completeAt = Math.max(completeAt, unchanged ? Math.min(sentAt + timeoutMillis, clock.getAsLong()) : sentAt);
-        apply(changes);
+        List<StoreChange> applied = apply(changes);
         confirm(completeAt);
+        publish(applied);
         if (unchanged) {
             continueWatching(watchMillis);
         } else {
@@ -205,7 +206,8 @@
         }
     }
 
-    private void apply(StoreClient.Changes changes) {
+    /** Applies changes, and returns those that were new. */
+    private List<StoreChange> apply(StoreClient.Changes changes) {
         List<StoreChange> applied = new ArrayList<>();
         for (StoreChange change : changes.changes()) {
             if (apply(change)) {
@@ -215,8 +217,8 @@
         revision = Math.max(revision, changes.revision());
         if (!applied.isEmpty()) {
             notifyChanged();
-            publish(applied);
         }
+        return applied;
     }
 
     private boolean apply(StoreChange change) {
@@ -242,19 +244,14 @@
             recoveredAt = Math.max(recoveredAt, clock.getAsLong() - frame.sinceRecoveryMillis());
             listener.storeRecovered(recoveredAt);
         }
+        if (frame.snapshot() && frame.changes().revision() < revision) {
+            return;
+        }
+        List<StoreChange> applied = List.of();
         if (frame.snapshot()) {
-            if (frame.changes().revision() < revision) {
-                return;
-            }
-            List<StoredItem> all = new ArrayList<>();
-            for (StoreChange change : frame.changes().changes()) {
-                if (change instanceof StoreChange.Written(StoredItem item)) {
-                    all.add(item);
-                }
-            }
-            replace(all, frame.changes().revision());
+            replaceWith(frame);
         } else {
-            apply(frame.changes());
+            applied = apply(frame.changes());
         }
         boolean upToDate = frame.changes().revision() >= revision;
         frame.completeAt().ifPresent(at -> {
@@ -263,6 +260,21 @@
             }
             listener.updatesRelayed(at);
         });
+        if (frame.snapshot()) {
+            relay.publish(snapshot());
+        } else {
+            publish(applied);
+        }
+    }
+
+    private void replaceWith(RelayFrame frame) {
+        List<StoredItem> all = new ArrayList<>();
+        for (StoreChange change : frame.changes().changes()) {
+            if (change instanceof StoreChange.Written(StoredItem item)) {
+                all.add(item);
+            }
+        }
+        replace(all, frame.changes().revision());
     }
 
     private RelayFrame snapshot() {
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
@@ -0,0 +1,187 @@
+package org.dragonflymux.gateway.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.primitives.Ints;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A host that watches the store, one that it relays to, and a third that the second relays to. */
+class StoreMirrorTest {
+
+    private static final long WATCH_MILLIS = 100;
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long POLL_MILLIS = 10;
+    private static final long MAX_AGE_MILLIS = 1_200;
+    private static final AtomicInteger PORTS = new AtomicInteger(7_100);
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final EventLoop loop = loops.next();
+    private final FakeStore store = new FakeStore();
+
+    @AfterEach
+    void close() {
+        loops.shutdownGracefully();
+    }
+
+    /** A store whose values are set by the test; a watch ends at once if there are changes, otherwise after its wait. */
+    private final class FakeStore implements StoreClient {
+
+        private final List<StoreChange> history = new ArrayList<>();
+        private final AtomicInteger calls = new AtomicInteger();
+        private long revision = 1;
+
+        void write(String key) {
+            loop.execute(() -> history.add(new StoreChange.Written(new StoredItem(key, new byte[0], ++revision))));
+        }
+
+        @Override
+        public void range(String prefix, Consumer<Either<StoreError, Range>> result) {
+            calls.incrementAndGet();
+            loop.execute(() -> result.accept(Either.right(new Range(List.of(), revision))));
+        }
+
+        @Override
+        public void watch(String prefix, long after, long waitMillis, Consumer<Either<StoreError, Changes>> result) {
+            calls.incrementAndGet();
+            loop.schedule(
+                    () -> result.accept(Either.right(new Changes(
+                            history.stream()
+                                    .filter(change -> ((StoreChange.Written) change)
+                                                    .item()
+                                                    .revision()
+                                            > after)
+                                    .toList(),
+                            revision))),
+                    waitMillis,
+                    TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void commit(List<ExpectedRevision> expected, List<Put> puts, Consumer<Either<StoreError, Long>> result) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void renewLease(long lease, Consumer<Either<StoreError, Long>> result) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void endLease(long lease, Consumer<Either<StoreError, Long>> result) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    private static class Recorder implements StoreMirror.Listener {
+
+        private final AtomicLong completeAt = new AtomicLong();
+        private volatile Map<String, StoredItem> items = Map.of();
+
+        @Override
+        public void valuesChanged(Map<String, StoredItem> changed) {
+            items = Map.copyOf(changed);
+        }
+
+        @Override
+        public void confirmed(long at) {
+            completeAt.accumulateAndGet(at, Math::max);
+        }
+
+        @Override
+        public void updatesRelayed(long at) {
+            completeAt.accumulateAndGet(at, Math::max);
+        }
+
+        @Override
+        public void storeRecovered(long at) {
+            // Recoveries are of no interest here.
+        }
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Returns an address that no other process uses: each test process has a loopback address of its own. */
+    private static InetSocketAddress unusedAddress() throws Exception {
+        byte[] pid = Ints.toByteArray((int) ProcessHandle.current().pid());
+        InetAddress address = InetAddress.getByAddress(new byte[] {127, (byte) (64 | pid[1]), pid[2], pid[3]});
+        return new InetSocketAddress(address, PORTS.incrementAndGet());
+    }
+
+    private void mirror(InetSocketAddress relayAddress, Optional<InetSocketAddress> source, Recorder recorder) {
+        StoreMirror mirror =
+                StoreMirror.start(loop, store, "", WATCH_MILLIS, StoreMirrorTest::now, relayAddress, recorder);
+        loop.execute(() -> source.ifPresent(address -> mirror.setUpdateSources(false, Optional.of(address))));
+        loop.scheduleAtFixedRate(mirror::sendEchoTimestamp, POLL_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void awaitKey(Recorder recorder, String key) throws InterruptedException {
+        long deadline = now() + TIMEOUT_MILLIS;
+        while (!recorder.items.containsKey(key) && now() < deadline) {
+            Thread.sleep(POLL_MILLIS);
+        }
+        assertThat(recorder.items).containsKey(key);
+    }
+
+    @Test
+    void changes_and_their_age_pass_through_a_chain_of_hosts() throws Exception {
+        InetSocketAddress first = unusedAddress();
+        InetSocketAddress second = unusedAddress();
+        Recorder last = new Recorder();
+        mirror(first, Optional.empty(), new Recorder());
+        mirror(second, Optional.of(first), new Recorder());
+        mirror(unusedAddress(), Optional.of(second), last);
+
+        store.write("a");
+        awaitKey(last, "a");
+        store.write("b");
+        awaitKey(last, "b");
+
+        long deadline = now() + TIMEOUT_MILLIS;
+        while (now() - last.completeAt.get() > MAX_AGE_MILLIS && now() < deadline) {
+            Thread.sleep(POLL_MILLIS);
+        }
+        assertThat(now() - last.completeAt.get()).isBetween(0L, MAX_AGE_MILLIS);
+    }
+
+    /** Guards against a host that stops following the store after one value that it can't handle. */
+    @Test
+    void a_listener_that_fails_once_gets_later_changes() throws Exception {
+        Recorder failing = new Recorder() {
+            @Override
+            public void valuesChanged(Map<String, StoredItem> changed) {
+                if (changed.size() == 1) {
+                    throw new IllegalStateException("a value that can't be handled");
+                }
+                super.valuesChanged(changed);
+            }
+        };
+        mirror(unusedAddress(), Optional.empty(), failing);
+
+        store.write("odd");
+        Thread.sleep(2 * WATCH_MILLIS);
+        store.write("good");
+
+        awaitKey(failing, "good");
+    }
+}
