An owner that turns part of its requests away still gets the others

Cause: "not run" counted as a failure of the target. After three in a row the target was held down, for 1.6 s at first, and all requests for its keys were refused meanwhile, since no other target may run them; after the hold one more refusal was enough for the next. Change: a target that turned three requests in a row away rests for 100 ms, in which requests for its keys wait. Its refusals still weigh in the choice among targets. Targets that fail or can't be reached are held down as before.

The test "are still sent most of the requests for their keys" failed before with 4 requests sent of 400; more than 300 now.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetSelector.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetSelector.java
@@ -88,7 +88,7 @@
     }
 
     private boolean mayReceive(TargetState target, long now) {
-        return !target.heldBack(now) && pacer.admits(target, now);
+        return !target.heldBack(now) && !target.resting(now) && pacer.admits(target, now);
     }
 
     /**
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -18,6 +18,10 @@
     private static final long FIRST_HOLD_DOWN_MILLIS = 400;
     private static final long MAX_HOLD_DOWN_MILLIS = 3_000;
     private static final int MAX_HOLD_DOWN_DOUBLINGS = 3;
+    private static final int FAILURES_BEFORE_HOLD_DOWN = 3;
+    /** Shorter than a hold-down, because a target that turns requests away is alive and may run the next one. */
+    private static final long REST_MILLIS = 100;
+
     /** Limits the harm of a target that asks for an unreasonably long pause. */
     private static final long MAX_PAUSE_MILLIS = 60_000;
 
@@ -31,12 +35,14 @@
     private double averageSlowdown = 1;
     private double failureRatio;
     private int consecutiveFailures;
+    private int consecutiveRefusals;
     private long heldDownUntil = Long.MIN_VALUE / 2;
     private int slowdownPercent = 100;
     private long slowdownAt = Long.MIN_VALUE / 2;
     private long coldSince;
     private long coldUntil;
     private long lastColdSend = Long.MIN_VALUE / 2;
+    private long restsUntil = Long.MIN_VALUE / 2;
     private long pausedUntil = Long.MIN_VALUE / 2;
     private boolean resuming;
     private long leavingSince = Long.MAX_VALUE;
@@ -164,6 +170,7 @@
         completionsSinceReport++;
         completionMillisSinceReport += correctedMillis;
         consecutiveFailures = 0;
+        consecutiveRefusals = 0;
         resuming = false;
         failureRatio -= failureRatio * FAILURE_SMOOTHING;
     }
@@ -183,7 +190,7 @@
     public void failed(boolean unreachable, long now) {
         failureRatio += (1 - failureRatio) * FAILURE_SMOOTHING;
         consecutiveFailures++;
-        if (unreachable || consecutiveFailures >= 3) {
+        if (unreachable || consecutiveFailures >= FAILURES_BEFORE_HOLD_DOWN) {
             int doublings = Math.min(MAX_HOLD_DOWN_DOUBLINGS, Math.max(0, consecutiveFailures - 1));
             heldDownUntil = now + Math.min(MAX_HOLD_DOWN_MILLIS, FIRST_HOLD_DOWN_MILLIS << doublings);
         }
@@ -195,6 +202,20 @@
         resuming = true;
     }
 
+    /** Records that the target answered without having run a request. One that does so repeatedly rests for a moment. */
+    public void turnedAway(long now) {
+        failureRatio += (1 - failureRatio) * FAILURE_SMOOTHING;
+        consecutiveRefusals++;
+        if (consecutiveRefusals >= FAILURES_BEFORE_HOLD_DOWN) {
+            restsUntil = now + REST_MILLIS;
+        }
+    }
+
+    /** Returns whether requests should wait for a moment because the target has just turned several away. */
+    public boolean resting(long now) {
+        return now < restsUntil;
+    }
+
     /** Returns whether this host must not send requests now, because the target failed or asked for a pause. */
     public boolean heldBack(long now) {
         return now < heldBackUntil();
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -524,7 +524,7 @@
                 if (notRun.misdirected()) {
                     exchange.retryAt = now + MISDIRECTED_RETRY_DELAY_MILLIS;
                 } else {
-                    target.failed(false, now);
+                    target.turnedAway(now);
                 }
                 retryOrRefuse(exchange, RefusalReason.TURNED_AWAY, now);
             }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/TargetSignalsTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/TargetSignalsTest.java
@@ -2,12 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
 import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.balance.TargetSignals;
 import org.dragonflymux.core.desired.DesiredState;
@@ -261,4 +266,38 @@
             assertThat(refusal(arrive("/read/x")).reason().outcome()).isEqualTo(RefusalReason.Outcome.NOT_RUN);
         }
     }
+
+    /** Guards against refusing all requests for the keys of an owner that runs half of them and turns away the others. */
+    @Nested
+    class TargetsThatTurnPartOfTheirRequestsAway {
+
+        private static final int REQUESTS = 400;
+        private static final long INTERVAL_MILLIS = 10;
+
+        @Test
+        void are_still_sent_most_of_the_requests_for_their_keys() {
+            Random random = new Random(1);
+            Set<Long> sentExchanges = new HashSet<>();
+            for (int i = 0; i < REQUESTS; i++) {
+                now += INTERVAL_MILLIS;
+                gateway.storeConfirmed(now);
+                Deque<GatewayEffect> effects = new ArrayDeque<>(arrive("/key/x"));
+                effects.addAll(gateway.tick(now));
+                while (!effects.isEmpty()) {
+                    if (effects.removeFirst() instanceof GatewayEffect.Send send) {
+                        sentExchanges.add(send.exchange());
+                        effects.addAll(gateway.attemptEnded(send.attempt(), resultOfHalf(random), now));
+                    }
+                }
+            }
+
+            assertThat(sentExchanges).hasSizeGreaterThan(REQUESTS * 3 / 4);
+        }
+
+        private AttemptResult resultOfHalf(Random random) {
+            return random.nextBoolean()
+                    ? new AttemptResult.Answered(AttemptResult.Grade.SUCCESS)
+                    : new AttemptResult.NotRun(false);
+        }
+    }
 }
