A host's first callers find compiled code

Processor time ran out, the queue of new connections filled up, and callers' deadlines passed unanswered.

Change: at the first start of a fleet, when no caller waits yet, a host sends 100 requests over local sockets through a gateway of its own to a target of its own before it listens.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayOptions.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayOptions.java
@@ -15,6 +15,7 @@
  * @param readiness the address of the readiness check
  * @param peers the address for reports and rate messages from other hosts
  * @param stopTimeoutMillis the maximum duration of a shutdown
+ * @param firstStart whether the whole fleet starts for the first time, so that no caller waits yet
  * @param monotonicStart the time on the monotonic clock at which the process started, in milliseconds
  */
 public record GatewayOptions(
@@ -25,4 +26,5 @@
         InetSocketAddress readiness,
         InetSocketAddress peers,
         long stopTimeoutMillis,
+        boolean firstStart,
         long monotonicStart) {}
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -68,6 +68,9 @@
     private static final long COUNTS_LOG_INTERVAL_MILLIS = 10_000;
     private static final long WATCH_WAIT_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
+    private static final int RELAY_PORT_OFFSET = 1;
+    private static final int WARM_UP_GATEWAY_PORT_OFFSET = 2;
+    private static final int WARM_UP_TARGET_PORT_OFFSET = 3;
     private static final RequestLimits LIMITS_WITHOUT_DESIRED_STATE = new RequestLimits(16_384, 1 << 20, 5_000, 15_000);
 
     private final SuspendAwareClock clock = SuspendAwareClock.system();
@@ -85,8 +88,11 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Map<HostId, InetSocketAddress> senderAddresses = new HashMap<>();
     private Map<HostId, InetSocketAddress> memberAddresses = Map.of();
+    private final PollTracker pollTracker;
+    private final HeaderNames names;
     private PeerSocket peerSocket;
     private StoreMirror mirror;
+    private volatile boolean listening;
     private boolean stopping;
 
     private GatewayProcess(
@@ -99,6 +105,8 @@
             BiFunction<ConnectionPool, HeaderNames, GrantClient> grants) {
         this.options = options;
         this.loop = loop;
+        this.pollTracker = pollTracker;
+        this.names = names;
         this.decoder = decoder;
         this.store = CountingStoreClient.of(stores.apply(loop));
         var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
@@ -159,8 +167,7 @@
     private void listen() {
         peerSocket = PeerSocket.open(loop, options.peers(), this::reportReceived, this::rateMessageReceived);
         requests.rateMessageSender(this::sendRateMessage);
-        ReadinessServer.listen(loop, options.readiness(), () -> !stopping && gateway.ready(requestTime()));
-        callers.listen(options.callers());
+        ReadinessServer.listen(loop, options.readiness(), () -> listening && !stopping && gateway.ready(requestTime()));
         mirror = StoreMirror.start(
                 loop,
                 store,
@@ -183,12 +190,28 @@
         every(RATE_LOG_INTERVAL_MILLIS, this::logLending);
         every(COUNTS_LOG_INTERVAL_MILLIS, this::logCounts);
         every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
+        if (options.firstStart()) {
+            warmUp();
+        }
+        callers.listen(options.callers());
+        listening = true;
         LOG.info(
                 "event=started host={} incarnation={}",
                 options.self().host(),
                 options.self().incarnation());
     }
 
+    private void warmUp() {
+        WarmUp.run(
+                loop,
+                pollTracker,
+                names,
+                options.self(),
+                internalAddress(options.peers(), WARM_UP_GATEWAY_PORT_OFFSET),
+                internalAddress(options.peers(), WARM_UP_TARGET_PORT_OFFSET),
+                clock);
+    }
+
     private void every(long millis, Runnable action) {
         loop.scheduleWithFixedDelay(() -> guarded(action), millis, millis, TimeUnit.MILLISECONDS);
     }
@@ -212,7 +235,11 @@
 
     /** Returns the address on which a host relays updates of the store: the port after the one for reports. */
     private static InetSocketAddress relayAddress(InetSocketAddress reports) {
-        return new InetSocketAddress(reports.getAddress(), reports.getPort() + 1);
+        return internalAddress(reports, RELAY_PORT_OFFSET);
+    }
+
+    private static InetSocketAddress internalAddress(InetSocketAddress reports, int portOffset) {
+        return new InetSocketAddress(reports.getAddress(), reports.getPort() + portOffset);
     }
 
     private void applyUpdateSource() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -39,6 +40,7 @@
     private final PollTracker pollTracker;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel serverChannel;
+    private ScheduledFuture<?> idleCheck;
     private boolean draining;
 
     private CallerServer(
@@ -97,7 +99,7 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
-        loop.scheduleWithFixedDelay(this::closeIdle, 1, 1, TimeUnit.SECONDS);
+        idleCheck = loop.scheduleWithFixedDelay(this::closeIdle, 1, 1, TimeUnit.SECONDS);
     }
 
     private void closeIdle() {
@@ -156,8 +158,9 @@
         }
     }
 
-    /** Stops accepting connections. */
+    /** Stops accepting connections and no longer closes idle ones. */
     public void stopListening() {
+        idleCheck.cancel(false);
         serverChannel.close();
     }
 
