Hosts without a role hold long leases, and refused calls are repeated less often

Each of 95 hosts renewed a lease of 2.5 s, though only the loss of the grantor, of lenders and of collectors must be noticed that fast: 95 hosts x 58 s / 0.7 s is 7,900 of these calls. A third of the hosts was refused by the store for 9 s, and each tried its lease 3.3 times and its watch 4 times a second.

Change: a host without a role takes a lease of 10 s and renews it each 4 s; before it claims a role it gets a short one, under which it registers again. Hosts are ordered by a hash when they claim the grantor's role: ordered by name, the hosts of a lost failure domain, whose records now remain longer, would come one after the other. Calls that fail are repeated after 300, 600, 1,200 ms (watches 250, 500, 1,000 ms).

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -1,5 +1,7 @@
 package org.dragonflymux.core.membership;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,15 +15,23 @@
  */
 public final class MembershipStateMachine {
 
-    /** The validity of a lease, in milliseconds. */
+    /** The validity of the lease of a host that has or seeks a role, in milliseconds. Its loss is noticed that fast. */
     public static final long LEASE_MILLIS = 2_500;
 
+    /** The validity of the lease of a host without a role, in milliseconds. */
+    public static final long LONG_LEASE_MILLIS = 10_000;
+
     private static final long CLOCK_MARGIN_MILLIS = 100;
     private static final long RENEWAL_INTERVAL_MILLIS = 1_000;
+    private static final long LONG_RENEWAL_INTERVAL_MILLIS = 4_000;
+    /** How long a host keeps its short lease after it had or sought a role. */
+    private static final long SHORT_LEASE_MILLIS_AFTER_ROLE = 5_000;
+
     /** Time after which an unanswered renewal is repeated; a second one still arrives before the lease ends. */
     private static final long RENEWAL_REPEAT_MILLIS = 700;
 
     private static final long RETRY_DELAY_MILLIS = 300;
+    private static final int MAX_RETRY_DOUBLINGS = 2;
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
     private static final long CLAIM_STAGGER_MILLIS = 150;
 
@@ -29,6 +39,13 @@
     private final long renewalGraceMillis;
     private final Map<HostId, FleetMember> members = new HashMap<>();
     private long lease;
+    private long leaseMillis = LEASE_MILLIS;
+    private long requestedLeaseMillis = LEASE_MILLIS;
+    private long registeredLease;
+    private long writingLease;
+    private int failedLeaseCalls;
+    private long roleSoughtAt = Long.MIN_VALUE / 2;
+    private boolean hasRole;
     private long confirmedAt = Long.MIN_VALUE / 2;
     private long nextLeaseCallAt = Long.MIN_VALUE;
     private long nextWriteAt = Long.MIN_VALUE;
@@ -66,6 +83,9 @@
     /** Records the registration of a host. */
     public void memberRegistered(FleetMember member) {
         members.put(member.host(), member);
+        if (registeredLease == 0 && member.equals(self)) {
+            registeredLease = lease;
+        }
     }
 
     /** Records that the record of a host was removed. */
@@ -92,13 +112,15 @@
     /** Records a new lease. It starts no earlier than the call was sent, so its validity is counted from that time. */
     public void leaseObtained(long newLease, long sentAt) {
         lease = newLease;
+        leaseMillis = requestedLeaseMillis;
         leaseRenewed(sentAt);
     }
 
     /** Records that the lease was renewed by a call sent at the given time. */
     public void leaseRenewed(long sentAt) {
+        failedLeaseCalls = 0;
         confirmedAt = Math.max(confirmedAt, sentAt);
-        nextLeaseCallAt = sentAt + RENEWAL_INTERVAL_MILLIS;
+        nextLeaseCallAt = sentAt + (hasShortLease() ? RENEWAL_INTERVAL_MILLIS : LONG_RENEWAL_INTERVAL_MILLIS);
     }
 
     /** Records that the lease has ended in the store. */
@@ -109,11 +131,36 @@
 
     /** Records that a call to obtain or renew the lease failed. */
     public void leaseCallFailed(long now) {
-        nextLeaseCallAt = now + RETRY_DELAY_MILLIS;
+        requestedLeaseMillis = leaseMillis;
+        nextLeaseCallAt = now + (RETRY_DELAY_MILLIS << Math.min(failedLeaseCalls, MAX_RETRY_DOUBLINGS));
+        failedLeaseCalls++;
+    }
+
+    /** Records whether this host has a role besides serving callers, so that others must soon notice its loss. */
+    public void roleChanged(boolean present) {
+        hasRole = present;
+    }
+
+    /** Records that this host seeks a role. It may claim one as soon as it has a short lease. */
+    public void seekRole(long now) {
+        roleSoughtAt = now;
+    }
+
+    /** Returns whether this host's lease is short, as the lease that a role is bound to must be. */
+    public boolean hasShortLease() {
+        return leaseMillis == LEASE_MILLIS;
+    }
+
+    private boolean needsShortLease(long now) {
+        return hasRole || leading || !registered() || now - roleSoughtAt < SHORT_LEASE_MILLIS_AFTER_ROLE;
     }
 
     /** Records that a write succeeded or failed. */
     public void writeEnded(boolean succeeded, long now) {
+        if (succeeded && writingLease != 0) {
+            registeredLease = writingLease;
+        }
+        writingLease = 0;
         nextWriteAt = succeeded ? now : now + RETRY_DELAY_MILLIS;
     }
 
@@ -124,12 +171,12 @@
 
     /** Returns whether the lease is known to be valid in the store. */
     public boolean leaseConfirmed(long now) {
-        return lease != 0 && now < confirmedAt + LEASE_MILLIS;
+        return lease != 0 && now < confirmedAt + leaseMillis;
     }
 
     /** Returns until when the lease is known to be valid, with a margin for a local clock slower than the store's. */
     public long leaseValidUntil() {
-        return stopping ? Long.MIN_VALUE : confirmedAt + LEASE_MILLIS - CLOCK_MARGIN_MILLIS;
+        return stopping ? Long.MIN_VALUE : confirmedAt + leaseMillis - CLOCK_MARGIN_MILLIS;
     }
 
     /** Returns whether this host may become a lender: it is registered and is not stopping. */
@@ -177,9 +224,11 @@
         if (now < nextLeaseCallAt || stopping) {
             return;
         }
-        if (lease == 0) {
+        boolean wantsOtherLease = registeredLease == lease && needsShortLease(now) != hasShortLease();
+        if (lease == 0 || wantsOtherLease) {
             nextLeaseCallAt = now + CALL_TIMEOUT_MILLIS;
-            effects.add(new MembershipEffect.ObtainLease(LEASE_MILLIS));
+            requestedLeaseMillis = needsShortLease(now) ? LEASE_MILLIS : LONG_LEASE_MILLIS;
+            effects.add(new MembershipEffect.ObtainLease(requestedLeaseMillis));
         } else {
             nextLeaseCallAt = now + RENEWAL_REPEAT_MILLIS;
             effects.add(new MembershipEffect.RenewLease(lease));
@@ -190,9 +239,12 @@
         if (stopping) {
             return;
         }
-        if (!registered()) {
+        if (!registered() || registeredLease != lease) {
             nextWriteAt = now + CALL_TIMEOUT_MILLIS;
+            writingLease = lease;
             effects.add(new MembershipEffect.Register(lease, self));
+        } else if (mayClaim(now) && !hasShortLease()) {
+            seekRoleNow(now);
         } else if (mayClaim(now)) {
             nextWriteAt = now + CALL_TIMEOUT_MILLIS;
             predecessorEnded = lastGrantor
@@ -202,6 +254,11 @@
         }
     }
 
+    private void seekRoleNow(long now) {
+        seekRole(now);
+        nextLeaseCallAt = Math.min(nextLeaseCallAt, now);
+    }
+
     private boolean mayClaim(long now) {
         if (grantor.isPresent()) {
             boolean heldByEarlierIncarnation =
@@ -224,12 +281,24 @@
         if (lastGrantor.filter(self::sameIncarnation).isPresent()) {
             return 0;
         }
+        int own = claimOrder(self.host());
         return 1
                 + members.keySet().stream()
-                        .filter(host -> host.compareTo(self.host()) < 0)
+                        .filter(host -> claimOrder(host) < own)
                         .count();
     }
 
+    /**
+     * Returns a number by which hosts are ordered when they claim the role. It spreads the hosts of a failure domain, because
+     * these may all be lost together while their records remain for some seconds.
+     */
+    private int claimOrder(HostId host) {
+        int seed = (int) lastGrantor.map(FleetMember::incarnation).orElse(0L).longValue();
+        return Hashing.murmur3_32_fixed(seed)
+                .hashString(host.value(), StandardCharsets.UTF_8)
+                .asInt();
+    }
+
     private void updateGrantorRole(long now, List<MembershipEffect> effects) {
         boolean elected = grantor.filter(self::sameIncarnation).isPresent();
         boolean leads = elected && now < confirmedAt + renewalGraceMillis;
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
@@ -77,6 +77,91 @@
         assertThat(renewals).isEqualTo(2);
     }
 
+    /** Guards against hosts that burden a store which refuses their calls. */
+    @Test
+    void tries_less_often_the_more_calls_in_a_row_were_refused() {
+        int calls = 0;
+        for (long end = now + 9_000; now < end; now += 50) {
+            if (machine.tick(now).contains(new MembershipEffect.ObtainLease(MembershipStateMachine.LEASE_MILLIS))) {
+                calls++;
+                machine.leaseCallFailed(now);
+            }
+        }
+
+        assertThat(calls).isBetween(5, 10);
+    }
+
+    /** Guards against calls to the store that grow with the fleet: each host renewed a short lease whether it had a role or not. */
+    @Nested
+    class LongLeases {
+
+        private final MembershipEffect obtainLong =
+                new MembershipEffect.ObtainLease(MembershipStateMachine.LONG_LEASE_MILLIS);
+        private final MembershipEffect obtainShort =
+                new MembershipEffect.ObtainLease(MembershipStateMachine.LEASE_MILLIS);
+
+        private void obtainedLongLease() {
+            register();
+            machine.grantorChanged(Optional.of(member("a", 1)), 3, now);
+            machine.synced(now);
+            assertThat(runFor(1_100)).contains(obtainLong);
+            machine.leaseObtained(8, now);
+            assertThat(machine.tick(now)).contains(new MembershipEffect.Register(8, self));
+            machine.writeEnded(true, now);
+        }
+
+        @Test
+        void replace_the_short_one_of_a_host_without_a_role_and_are_renewed_rarely() {
+            obtainedLongLease();
+            int renewals = 0;
+            for (long end = now + 60_000; now < end; now += 50) {
+                if (machine.tick(now).contains(new MembershipEffect.RenewLease(8))) {
+                    renewals++;
+                    machine.leaseRenewed(now);
+                }
+            }
+
+            assertThat(renewals).isBetween(10, 20);
+            assertThat(machine.leaseConfirmed(now)).isTrue();
+        }
+
+        @Test
+        void are_not_used_by_a_host_with_a_role() {
+            machine.roleChanged(true);
+            register();
+            machine.grantorChanged(Optional.of(member("a", 1)), 3, now);
+            machine.synced(now);
+
+            assertThat(runFor(10_000)).doesNotContain(obtainLong);
+        }
+
+        @Test
+        void are_replaced_by_a_short_one_before_a_role_is_claimed() {
+            obtainedLongLease();
+            machine.grantorChanged(Optional.empty(), 0, now);
+            List<MembershipEffect> effects = runFor(1_000);
+            assertThat(effects).contains(obtainShort);
+            assertThat(containsClaim(effects)).isFalse();
+
+            machine.leaseObtained(9, now);
+            assertThat(machine.tick(now)).contains(new MembershipEffect.Register(9, self));
+            machine.writeEnded(true, now);
+
+            assertThat(machine.tick(now)).contains(new MembershipEffect.ClaimGrantorRole(9, self, 0));
+        }
+
+        @Test
+        void stay_in_use_if_the_store_refuses_another_one() {
+            obtainedLongLease();
+            machine.seekRole(now);
+            runFor(5_000);
+            machine.leaseCallFailed(now);
+
+            assertThat(machine.lease()).isEqualTo(8);
+            assertThat(machine.hasShortLease()).isFalse();
+        }
+    }
+
     @Nested
     class Claiming {
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -229,6 +229,7 @@
         if (retention.retainsEntries()) {
             gateway.directory().replace(retention.entries(now()), requestTime());
         }
+        control.collectsReports(gateway.collector().isEmpty());
         control.tick();
         applyUpdateSource();
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -54,6 +54,7 @@
     private Map<HostId, FleetMember> reportedHosts = Map.of();
     private boolean leading;
     private boolean predecessorEnded;
+    private boolean collectsReports;
 
     /** Receives the state that the control loop reads from the store. */
     public interface Listener {
@@ -195,9 +196,20 @@
         });
     }
 
+    /** Sets whether this host collects the reports of other hosts. */
+    public void collectsReports(boolean collecting) {
+        collectsReports = collecting;
+    }
+
+    private boolean holdsLenderPartition() {
+        return lenderElection.partitions().stream()
+                .anyMatch(partition -> partition.holder().sameIncarnation(membership.self()));
+    }
+
     /** Runs the state machines and carries out the effects that are due. */
     public void tick() {
         long now = clock.getAsLong();
+        membership.roleChanged(collectsReports || holdsLenderPartition());
         for (MembershipEffect effect : membership.tick(now)) {
             run(effect, now);
         }
@@ -256,6 +268,11 @@
         if (claims.isEmpty()) {
             return;
         }
+        if (!membership.hasShortLease()) {
+            membership.seekRole(now);
+            lenderElection.claimEnded(now);
+            return;
+        }
         byte[] record = FleetRecords.encodeLenderPartition(membership.self(), membership.lease());
         List<StoreClient.ExpectedRevision> expected = new ArrayList<>();
         List<StoreClient.Put> puts = new ArrayList<>();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -22,6 +22,7 @@
     private static final Logger LOG = LogManager.getLogger(StoreMirror.class);
     private static final long COALESCING_DELAY_MILLIS = 40;
     private static final long RETRY_DELAY_MILLIS = 250;
+    private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
     private static final long FIRST_WATCH_MILLIS = 20;
     private static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
 
@@ -36,6 +37,7 @@
     private long revision = -1;
     private long completeAt = Long.MIN_VALUE / 2;
     private long recoveredAt = -NEVER_MILLIS;
+    private long retryDelayMillis = RETRY_DELAY_MILLIS;
     private boolean reachable = true;
     private boolean watchingStore = true;
     private boolean callOutstanding;
@@ -126,8 +128,10 @@
         }
     }
 
+    /** Tries again later, and the later the more calls failed in a row, since refused calls burden the store as well. */
     private void scheduleRetry() {
-        loop.schedule(() -> continueWatching(watchMillis), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> continueWatching(watchMillis), retryDelayMillis, TimeUnit.MILLISECONDS);
+        retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
     }
 
     private void read() {
@@ -300,6 +304,7 @@
     }
 
     private void markReachable() {
+        retryDelayMillis = RETRY_DELAY_MILLIS;
         if (!reachable) {
             reachable = true;
             recoveredAt = clock.getAsLong();
