A stopping host doesn't close connections that were accepted a moment ago

Cause: three seconds after SIGTERM a host closed every connection without a pending request, again each 30 ms, while it still accepted new ones. Change: the host first stops listening, and closes only connections that were not used for 300 ms; the others get their answer with "Connection: close". The new test can't compile before: all connections without a pending request were closed.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -68,6 +68,7 @@
     private static final long COUNTS_LOG_INTERVAL_MILLIS = 10_000;
     private static final long WATCH_WAIT_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
+    private static final long UNUSED_MILLIS_BEFORE_CLOSE = 300;
     private static final int RELAY_PORT_OFFSET = 1;
     private static final int WARM_UP_GATEWAY_PORT_OFFSET = 2;
     private static final int WARM_UP_TARGET_PORT_OFFSET = 3;
@@ -463,9 +464,9 @@
         if (now() - startedAt < LISTEN_WHILE_STOPPING_MILLIS) {
             return;
         }
-        callers.closeUnused();
+        callers.stopListening();
+        callers.closeUnused(UNUSED_MILLIS_BEFORE_CLOSE);
         if (requests.openRequests() == 0 && callers.connections() == 0) {
-            callers.stopListening();
             stopped.countDown();
         }
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
@@ -128,7 +128,7 @@
         } finally {
             loop.execute(() -> {
                 callers.stopListening();
-                callers.closeUnused();
+                callers.closeUnused(0);
                 target.close();
                 targetConnections.close();
             });
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -149,10 +149,15 @@
         draining = true;
     }
 
-    /** Closes connections without pending requests. */
-    public void closeUnused() {
+    /**
+     * Closes connections without pending requests that were not used for a while. A connection that was accepted a moment ago
+     * may carry a request that has not been read yet.
+     *
+     * @param unusedMillis the minimum time since the connection was accepted or last used
+     */
+    public void closeUnused(long unusedMillis) {
         for (CallerConnection connection : Set.copyOf(connections)) {
-            if (connection.idleSince(Long.MAX_VALUE)) {
+            if (connection.idleSince(now() - unusedMillis)) {
                 connection.close();
             }
         }
@@ -160,8 +165,10 @@
 
     /** Stops accepting connections and no longer closes idle ones. */
     public void stopListening() {
-        idleCheck.cancel(false);
-        serverChannel.close();
+        if (serverChannel.isOpen()) {
+            idleCheck.cancel(false);
+            serverChannel.close();
+        }
     }
 
     public int connections() {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/CallerConnectionTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/CallerConnectionTest.java
@@ -110,6 +110,38 @@
         }
     }
 
+    /** Guards against cutting off requests that had just been accepted when the process stops. */
+    @Nested
+    class Stopping {
+
+        private static final long UNUSED_MILLIS = 300;
+
+        @Test
+        void keeps_a_connection_that_was_accepted_a_moment_ago_and_answers_its_request() {
+            server.drain();
+            now += UNUSED_MILLIS - 1;
+            server.closeUnused(UNUSED_MILLIS);
+            assertThat(channel.isOpen()).isTrue();
+
+            send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+            now += 10 * UNUSED_MILLIS;
+            server.closeUnused(UNUSED_MILLIS);
+            replies.get(0).respond(response("first"));
+
+            assertThat(written()).contains("first").contains("connection: close");
+            assertThat(channel.isOpen()).isFalse();
+        }
+
+        @Test
+        void closes_a_connection_that_is_not_in_use() {
+            server.drain();
+            now += UNUSED_MILLIS + 1;
+            server.closeUnused(UNUSED_MILLIS);
+
+            assertThat(channel.isOpen()).isFalse();
+        }
+    }
+
     @Nested
     class Disconnecting {
 
