--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/BrokenResponseTest.java
@@ -0,0 +1,53 @@
+package org.dragonflymux.gateway.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against passing on a response that broke off as a complete one. */
+class BrokenResponseTest {
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nId: a\r\n";
+    private static final String WITH_LENGTH = HEAD + "Content-Length: 5\r\n\r\nwhole";
+    private static final String IN_CHUNKS = HEAD + "Transfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n";
+    private static final String UNTIL_CLOSE = HEAD + "\r\nwhole";
+
+    private static String outcome(String bytes, ScriptedTarget.End end) throws Exception {
+        try (ScriptedTarget target = ScriptedTarget.start(List.of(bytes), end)) {
+            return target.call("a");
+        }
+    }
+
+    private static void assertFailsAtEachCut(String response, ScriptedTarget.End end) throws Exception {
+        for (int length = 0; length < response.length(); length++) {
+            assertThat(outcome(response.substring(0, length), end))
+                    .as("cut after %d bytes", length)
+                    .isIn(CallFailure.BROKEN.name(), CallFailure.MALFORMED.name());
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"CLOSE", "RESET"})
+    void a_response_with_a_length_is_complete_only_with_its_last_byte(ScriptedTarget.End end) throws Exception {
+        assertFailsAtEachCut(WITH_LENGTH, end);
+        assertThat(outcome(WITH_LENGTH, ScriptedTarget.End.CLOSE)).isEqualTo("whole");
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"CLOSE", "RESET"})
+    void a_response_in_chunks_is_complete_only_with_its_last_byte(ScriptedTarget.End end) throws Exception {
+        assertFailsAtEachCut(IN_CHUNKS, end);
+        assertThat(outcome(IN_CHUNKS, ScriptedTarget.End.CLOSE)).isEqualTo("whole");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {UNTIL_CLOSE, HEAD + "Connection: close\r\n\r\nwhole"})
+    void a_response_without_a_length_is_complete_only_if_its_connection_is_closed_in_order(String response)
+            throws Exception {
+        assertThat(outcome(response, ScriptedTarget.End.CLOSE)).isEqualTo("whole");
+        assertThat(outcome(response, ScriptedTarget.End.RESET)).isEqualTo(CallFailure.BROKEN.name());
+    }
+}
