GatewayProcess hands reports, rate messages and totals to classes of their own

Moved without a change of logic: PeerExchange sends and receives what hosts tell each other, ActivityLog writes the totals.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -24,8 +23,6 @@
 import org.dragonflymux.core.desired.DesiredState;
 import org.dragonflymux.core.desired.RequestLimits;
 import org.dragonflymux.core.gateway.Gateway;
-import org.dragonflymux.core.gateway.PeerReport;
-import org.dragonflymux.core.gateway.ReportAggregator;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.membership.MembershipStateMachine;
 import org.dragonflymux.core.membership.UpdateSourceSelector;
@@ -34,8 +31,6 @@
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.quota.LenderPartition;
-import org.dragonflymux.core.quota.LendingStats;
-import org.dragonflymux.core.quota.RateMessage;
 import org.dragonflymux.core.shard.ShardTable;
 import org.dragonflymux.gateway.caller.CallerServer;
 import org.dragonflymux.gateway.control.ControlLoop;
@@ -43,7 +38,6 @@
 import org.dragonflymux.gateway.control.GrantClient;
 import org.dragonflymux.gateway.http.ConnectionPool;
 import org.dragonflymux.gateway.http.PollTracker;
-import org.dragonflymux.gateway.peer.PeerSocket;
 import org.dragonflymux.gateway.store.CountingStoreClient;
 import org.dragonflymux.gateway.store.RecordDecoder;
 import org.dragonflymux.gateway.store.RevisionCache;
@@ -87,11 +81,9 @@
     private final EntryRetention retention = EntryRetention.empty();
     private final UpdateSourceSelector updateSourceSelector;
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final Map<HostId, InetSocketAddress> senderAddresses = new HashMap<>();
-    private Map<HostId, InetSocketAddress> memberAddresses = Map.of();
     private final PollTracker pollTracker;
     private final HeaderNames names;
-    private PeerSocket peerSocket;
+    private PeerExchange peers;
     private StoreMirror mirror;
     private volatile boolean listening;
     private boolean stopping;
@@ -166,8 +158,7 @@
     }
 
     private void listen() {
-        peerSocket = PeerSocket.open(loop, options.peers(), this::reportReceived, this::rateMessageReceived);
-        requests.rateMessageSender(this::sendRateMessage);
+        peers = PeerExchange.start(loop, options.peers(), gateway, requests, control, this::requestTime);
         ReadinessServer.listen(loop, options.readiness(), () -> listening && !stopping && gateway.ready(requestTime()));
         mirror = StoreMirror.start(
                 loop,
@@ -186,10 +177,10 @@
         requests.onArrival(requestTimer::wake);
         AdaptiveTimer.start(
                 loop, control::busy, CONTROL_TICK_MILLIS, IDLE_CONTROL_TICK_MILLIS, _ -> guarded(this::controlTick));
-        scheduleReport();
         every(RELAY_INTERVAL_MILLIS, this::keepRelayAlive);
-        every(RATE_LOG_INTERVAL_MILLIS, this::logLending);
-        every(COUNTS_LOG_INTERVAL_MILLIS, this::logCounts);
+        ActivityLog activityLog = ActivityLog.of(gateway, requests, store);
+        every(RATE_LOG_INTERVAL_MILLIS, activityLog::logLending);
+        every(COUNTS_LOG_INTERVAL_MILLIS, activityLog::logCounts);
         every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
         if (options.firstStart()) {
             warmUp();
@@ -263,83 +254,6 @@
         }
     }
 
-    private void scheduleReport() {
-        loop.schedule(
-                () -> {
-                    guarded(this::report);
-                    scheduleReport();
-                },
-                gateway.millisUntilReport(requestTime()),
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void report() {
-        if (!gateway.reportDue(requestTime())) {
-            return;
-        }
-        PeerReport own = gateway.report(requestTime());
-        control.recordKeyRequests(own.keys());
-        Optional<HostId> grantor = control.grantor().map(FleetMember::host);
-        for (ReportAggregator.Outgoing outgoing : gateway.outgoingReports(own, grantor, requestTime())) {
-            peerSocket.send(
-                    outgoing.report(),
-                    outgoing.to().stream()
-                            .map(memberAddresses::get)
-                            .filter(Objects::nonNull)
-                            .toList());
-        }
-    }
-
-    private void rateMessageReceived(RateMessage message, InetSocketAddress sender) {
-        if (message.via().isEmpty()) {
-            senderAddresses.put(message.from(), sender);
-        }
-        requests.rateMessageReceived(message);
-    }
-
-    private void sendRateMessage(HostId to, RateMessage message) {
-        // A host whose calls the store refuses is not registered as a member but still asks others for tokens.
-        InetSocketAddress address = memberAddresses.getOrDefault(to, senderAddresses.get(to));
-        if (address != null) {
-            peerSocket.send(message, address);
-        }
-    }
-
-    private void logLending() {
-        for (LendingStats stats : gateway.drainLendingStats()) {
-            if (stats.denied() > 0) {
-                LOG.info(
-                        "event=rate_used_up customer={} rate={} burst={} lent={} givenBack={} denied={} tokens={} outstanding={}",
-                        stats.customer(),
-                        stats.ratePerSecond(),
-                        stats.burst(),
-                        stats.lent(),
-                        stats.returned(),
-                        stats.denied(),
-                        (long) stats.tokens(),
-                        (long) stats.outstanding());
-            }
-        }
-    }
-
-    private void logCounts() {
-        LOG.info("event=refusals reasons={}", requests.drainRefusals());
-        CountingStoreClient.Counts counts = store.drainCounts();
-        LOG.info(
-                "event=store_calls reads={} watches={} writes={} leases={} renewals={} failed={}",
-                counts.reads(),
-                counts.watches(),
-                counts.writes(),
-                counts.leases(),
-                counts.renewals(),
-                counts.failed());
-    }
-
-    private void reportReceived(PeerReport report) {
-        control.recordKeyRequests(report.keys());
-        requests.run(gateway.peerReportReceived(report, requestTime()));
-    }
-
     /** Applies changes in the store to the gateway. */
     private final class MirrorListener implements StoreMirror.Listener {
 
@@ -425,7 +339,7 @@
                     others.put(member.host(), SocketAddresses.parse(member.peerAddress()));
                 }
             }
-            memberAddresses = others;
+            peers.replaceAddresses(others);
         }
 
         @Override
