Requests behind one that waits for a silent lender are refused at once

Cause: while a customer's lender was lost, each request of the customer waited 600 ms for a token and was refused then; where callers wait 1.2 s in all that leaves no time for another try. Change: when the oldest unanswered demand is older than a token's lifetime, one request waits, so that the lender is asked again, and the others are refused at once as not run. Any answer ends that. The new test failed before: the second request waited.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
@@ -131,6 +131,8 @@
             result.add(new RateDecision.Admitted(request, token.get()));
         } else if (exhaustedMillis > 0) {
             result.add(new RateDecision.OverRate(request, exhaustedMillis));
+        } else if (account.lenderSilent(now)) {
+            result.add(new RateDecision.NoLender(request));
         } else {
             account.enqueue(request, now);
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
@@ -36,6 +36,9 @@
     private long returned;
     private long reported;
     private long lastAskAt = NEVER;
+    /** When the oldest demand was sent that has not been answered, nor any later one. */
+    private long unansweredSince = Long.MAX_VALUE;
+
     private long exhaustedUntil = NEVER;
     private long pausedUntil = NEVER;
     private long prefetchPausedUntil = NEVER;
@@ -110,6 +113,14 @@
         return pending.isEmpty() ? Math.max(0, exhaustedUntil - now) : 0;
     }
 
+    /**
+     * Returns whether the lender has been silent for longer than a token could be used. One request then waits, so that the
+     * lender is asked again; the others are refused at once.
+     */
+    boolean lenderSilent(long now) {
+        return !pending.isEmpty() && now - TOKEN_LIFETIME_MILLIS >= unansweredSince;
+    }
+
     /** Enqueues a request that waits for a token. */
     void enqueue(long request, long now) {
         pending.addLast(new PendingRequest(request, now));
@@ -150,6 +161,7 @@
                 return Optional.empty();
             }
             int needed = pending.size();
+            unansweredSince = Math.min(unansweredSince, now);
             openDemand =
                     Optional.of(new OpenDemand(sequence, now, needed, Math.max(needed, needed + ahead - stocked())));
         }
@@ -190,6 +202,7 @@
             pausedUntil = now + NOT_LENDER_PAUSE_MILLIS;
             return List.of();
         }
+        unansweredSince = Long.MAX_VALUE;
         OpenDemand demand = answered.get();
         if (now >= demand.askedAt() + TOKEN_LIFETIME_MILLIS) {
             recordReturned(loan.epoch(), loan.tokens());
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -287,6 +287,24 @@
             assertThat(reason(gateway.tick(now))).isEqualTo(RefusalReason.RATE_UNKNOWN);
         }
 
+        /** Guards against holding every request for most of its time while the lender is lost. */
+        @Test
+        void requests_are_refused_at_once_while_one_of_them_waits_for_a_silent_lender() {
+            gateway.updateDesiredState(state(2, customers(10)));
+            gateway.replacePartitions(partitions("other"), now);
+            arrive("/read/x");
+            now += 450;
+            gateway.tick(now);
+
+            assertThat(reason(arrive("/read/x"))).isEqualTo(RefusalReason.RATE_UNKNOWN);
+            now += 200;
+            gateway.tick(now);
+            assertThat(arrive("/read/x")).as("waits, since none other does").isEmpty();
+            assertThat(gateway.tick(now + 80))
+                    .as("asks the lender again")
+                    .hasAtLeastOneElementOfType(GatewayEffect.Tell.class);
+        }
+
         private RateMessage.Ask ask(int tokens) {
             return new RateMessage.Ask(
                     HostId.of("other"),
