A restarted host doesn't follow itself, and updates don't circulate

Change: a host never follows another incarnation of itself.

A late answer of a lender counts as a sign of life: it isn't silent.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/UpdateSourceSelector.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/UpdateSourceSelector.java
@@ -62,7 +62,9 @@
                 ? Optional.empty()
                 : Stream.of(collector, grantor)
                         .flatMap(Optional::stream)
-                        .filter(member -> !member.sameIncarnation(self) && !avoidedUntil.containsKey(member))
+                        // An earlier incarnation of this host is reached at its own address.
+                        .filter(member -> !member.host().equals(self.host()))
+                        .filter(member -> !avoidedUntil.containsKey(member))
                         .findFirst();
         if (!best.equals(selected)) {
             selected = best;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/TokenAccount.java
@@ -36,7 +36,7 @@
     private long returned;
     private long reported;
     private long lastAskAt = NEVER;
-    /** When the oldest demand was sent that has not been answered, nor any later one. */
+    /** When the first demand was sent since the lender's latest answer, which may have been late. */
     private long unansweredSince = Long.MAX_VALUE;
 
     private long exhaustedUntil = NEVER;
@@ -193,6 +193,7 @@
         Optional<OpenDemand> answered = openDemand.filter(demand -> demand.sequence() == loan.sequence());
         if (answered.isEmpty()) {
             if (unansweredSequences.remove(loan.sequence())) {
+                unansweredSince = Long.MAX_VALUE;
                 recordReturned(loan.epoch(), loan.tokens());
             }
             return List.of();
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/UpdateSourceSelectorTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/UpdateSourceSelectorTest.java
@@ -73,6 +73,19 @@
         assertThat(selector.source(8_000)).contains(GRANTOR);
     }
 
+    /**
+     * Guards against a host that subscribes to itself after a restart: its own old updates looked fresh for over a second, in
+     * which all hosts that followed it claimed roles with outdated revisions.
+     */
+    @Test
+    void does_not_follow_an_earlier_incarnation_of_this_host() {
+        FleetMember earlier = new FleetMember(SELF.host(), SELF.incarnation() - 1, SELF.domain(), SELF.peerAddress());
+        selector.grantorChanged(Optional.of(earlier), 0);
+
+        assertThat(selector.source(0)).isEmpty();
+        assertThat(selector.mustWatchStore(0)).isTrue();
+    }
+
     @Nested
     class InALargeFleet {
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
@@ -27,6 +27,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.balance.TargetEntry;
@@ -37,9 +38,11 @@
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.desired.WeightedService;
 import org.dragonflymux.core.gateway.Gateway;
+import org.dragonflymux.core.gateway.GatewayEffect;
 import org.dragonflymux.core.gateway.GatewaySettings;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.name.CustomerName;
+import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.quota.LenderPartition;
@@ -48,6 +51,7 @@
 import org.dragonflymux.gateway.http.CallListener;
 import org.dragonflymux.gateway.http.ConnectionPool;
 import org.dragonflymux.gateway.http.PollTracker;
+import org.dragonflymux.gateway.peer.PeerSocket;
 
 /**
  * Sends requests over local sockets through a gateway of its own to a target of its own, before callers can connect. It
@@ -63,6 +67,7 @@
     private static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
     private static final long LEASE = 1;
     private static final String CREDENTIAL = "warm-up";
+    private static final HostId LENDER = HostId.of("warm-up-lender");
     private static final ServiceName SERVICE = ServiceName.of("warm-up");
     private static final RequestLimits LIMITS = new RequestLimits(8_192, MAX_BYTES, 1_000, 1_000);
 
@@ -116,6 +121,10 @@
         Channel target = listenAsTarget();
         RequestPath requests =
                 new RequestPath(gateway(), ConnectionPool.on(loop, MAX_BYTES, pollTracker), names, clock);
+        PeerSocket lenderSocket = openAsLender();
+        PeerSocket peerSocket =
+                PeerSocket.open(loop, gatewayAddress, _ -> {}, (message, _) -> requests.rateMessageReceived(message));
+        requests.rateMessageSender((_, message) -> peerSocket.send(message, targetAddress));
         CallerServer callers = CallerServer.on(loop, requests, () -> LIMITS, clock::monotonicMillis, pollTracker);
         callers.listen(gatewayAddress);
         ConnectionPool pool = ConnectionPool.on(loop, MAX_BYTES, pollTracker);
@@ -129,6 +138,8 @@
             loop.execute(() -> {
                 callers.stopListening();
                 callers.closeUnused(0);
+                peerSocket.close();
+                lenderSocket.close();
                 target.close();
                 targetConnections.close();
             });
@@ -154,18 +165,43 @@
                 .channel();
     }
 
-    private Gateway gateway() {
-        long now = clock.monotonicMillis();
+    /** Opens the socket of the customer's lender, so that requests borrow tokens as they do from another host. */
+    private PeerSocket openAsLender() {
+        long startedAt = clock.monotonicMillis() - MAX_MILLIS;
+        FleetMember holder = new FleetMember(LENDER, self.incarnation(), self.domain(), self.peerAddress());
+        Gateway lender = gatewayOf(holder, startedAt);
+        lender.updateLease(LEASE, NEVER_MILLIS, startedAt);
+        lender.replacePartitions(List.of(partition(holder)), startedAt);
+        AtomicReference<PeerSocket> socket = new AtomicReference<>();
+        socket.set(PeerSocket.open(loop, targetAddress, _ -> {}, (message, sender) -> {
+            for (GatewayEffect effect : lender.rateMessageReceived(message, clock.monotonicMillis())) {
+                if (effect instanceof GatewayEffect.Tell tell) {
+                    socket.get().send(tell.message(), sender);
+                }
+            }
+        }));
+        return socket.get();
+    }
+
+    private static LenderPartition partition(FleetMember holder) {
+        return new LenderPartition(LenderPartition.numberOf(CustomerName.of(CREDENTIAL)), holder, LEASE, 1);
+    }
+
+    private Gateway gatewayOf(FleetMember host, long startedAt) {
         Gateway gateway = Gateway.of(
-                new GatewaySettings(self.host(), self.incarnation(), self.domain(), NEVER_MILLIS, 0, 0, 0, 1),
+                new GatewaySettings(host.host(), host.incarnation(), host.domain(), NEVER_MILLIS, 0, 0, 0, 1),
                 () -> 0L,
-                now - NEVER_MILLIS);
+                startedAt);
         gateway.updateDesiredState(desiredState());
-        gateway.storeConfirmed(now);
-        gateway.updateLease(LEASE, NEVER_MILLIS, now - MAX_MILLIS);
-        CustomerName customer = CustomerName.of(CREDENTIAL);
-        gateway.replacePartitions(
-                List.of(new LenderPartition(LenderPartition.numberOf(customer), self, LEASE, 1)), now - MAX_MILLIS);
+        gateway.storeConfirmed(clock.monotonicMillis());
+        return gateway;
+    }
+
+    private Gateway gateway() {
+        long now = clock.monotonicMillis();
+        Gateway gateway = gatewayOf(self, now - MAX_MILLIS);
+        FleetMember lender = new FleetMember(LENDER, self.incarnation(), self.domain(), self.peerAddress());
+        gateway.replacePartitions(List.of(partition(lender)), now);
         TargetEntry target = new TargetEntry(
                 TargetId.of("warm-up"),
                 SERVICE,
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/PeerSocket.java
@@ -96,6 +96,11 @@
         channel.writeAndFlush(datagram(RATES, RateCodec.encode(message), host));
     }
 
+    /** Closes the socket. */
+    public void close() {
+        channel.close();
+    }
+
     private static DatagramPacket datagram(byte kind, byte[] bytes, InetSocketAddress host) {
         return new DatagramPacket(Unpooled.wrappedBuffer(new byte[] {kind}, bytes), host);
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -251,6 +251,7 @@
         if (frame.snapshot() && frame.changes().revision() < revision) {
             return;
         }
+        boolean newSnapshot = frame.snapshot() && frame.changes().revision() > revision;
         List<StoreChange> applied = List.of();
         if (frame.snapshot()) {
             replaceWith(frame);
@@ -258,15 +259,18 @@
             applied = apply(frame.changes());
         }
         boolean upToDate = frame.changes().revision() >= revision;
+        long completeAtBefore = completeAt;
         frame.completeAt().ifPresent(at -> {
             if (upToDate) {
                 confirm(at);
             }
             listener.updatesRelayed(at);
         });
-        if (frame.snapshot()) {
+        if (newSnapshot) {
             relay.publish(snapshot());
-        } else {
+        } else if (!applied.isEmpty() || completeAt > completeAtBefore) {
+            // Hosts that by mistake follow each other have nothing new to tell, so frames do not circulate between
+            // them.
             publish(applied);
         }
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
@@ -94,6 +94,7 @@
     private static class Recorder implements StoreMirror.Listener {
 
         private final AtomicLong completeAt = new AtomicLong();
+        private final AtomicInteger updates = new AtomicInteger();
         private volatile Map<String, StoredItem> items = Map.of();
 
         @Override
@@ -108,6 +109,7 @@
 
         @Override
         public void updatesRelayed(long at) {
+            updates.incrementAndGet();
             completeAt.accumulateAndGet(at, Math::max);
         }
 
@@ -131,7 +133,8 @@
     private void mirror(InetSocketAddress relayAddress, Optional<InetSocketAddress> source, Recorder recorder) {
         StoreMirror mirror =
                 StoreMirror.start(loop, store, "", WATCH_MILLIS, StoreMirrorTest::now, relayAddress, recorder);
-        loop.execute(() -> source.ifPresent(address -> mirror.setUpdateSources(false, Optional.of(address))));
+        source.ifPresent(address -> loop.scheduleAtFixedRate(
+                () -> mirror.setUpdateSources(false, Optional.of(address)), 0, POLL_MILLIS, TimeUnit.MILLISECONDS));
         loop.scheduleAtFixedRate(mirror::sendEchoTimestamp, POLL_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -164,6 +167,21 @@
         assertThat(now() - last.completeAt.get()).isBetween(0L, MAX_AGE_MILLIS);
     }
 
+    /** Guards against updates that circulate between hosts which follow each other. */
+    @Test
+    void hosts_that_follow_each_other_do_not_flood_each_other() throws Exception {
+        InetSocketAddress first = unusedAddress();
+        InetSocketAddress second = unusedAddress();
+        Recorder recorder = new Recorder();
+        mirror(first, Optional.of(second), recorder);
+        mirror(second, Optional.of(first), new Recorder());
+
+        store.write("a");
+        Thread.sleep(10 * WATCH_MILLIS);
+
+        assertThat(recorder.updates).hasValueLessThan(20);
+    }
+
     /** Guards against a host that stops following the store after one value that it can't handle. */
     @Test
     void a_listener_that_fails_once_gets_later_changes() throws Exception {
