--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
@@ -60,7 +60,7 @@
 final class WarmUp {
 
     private static final Logger LOG = LogManager.getLogger(WarmUp.class);
-    private static final int REQUESTS = 100;
+    private static final int REQUESTS = 50;
     private static final long MAX_MILLIS = 3_000;
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
     private static final int MAX_BYTES = 65_536;
