Changes of targets' entries are applied together, and roles only when own records change

Cause: each change of any value in the store made each host pass over all targets, hosts, partitions and tables. In a fleet the number of changes and the cost of each both grow: 27 targets replaced one after the other, each with several entries, at 95 hosts and 239 targets. Change: a change of own records doesn't touch targets, and the other way round; changes of targets alone are collected for 200 ms. Desired states and drained failure domains are applied at once.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -62,6 +62,9 @@
     private static final long COUNTS_LOG_INTERVAL_MILLIS = 10_000;
     private static final long WATCH_WAIT_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
+    /** How long changes of targets' entries are collected before they are applied together. */
+    private static final long TARGETS_DELAY_MILLIS = 200;
+
     private static final long UNUSED_MILLIS_BEFORE_CLOSE = 300;
     private static final int RELAY_PORT_OFFSET = 1;
     private static final int WARM_UP_GATEWAY_PORT_OFFSET = 2;
@@ -259,21 +262,60 @@
 
         private final RevisionCache<Optional<StoreRecord>> records = RevisionCache.of(this::decode);
 
+        private Set<String> targetKeys = Set.of();
+        private Map<String, StoredItem> latestItems = Map.of();
+        private final CoalescingTrigger othersUpdate =
+                CoalescingTrigger.of(loop, TARGETS_DELAY_MILLIS, () -> guarded(this::applyOthers));
+
         @Override
-        public void valuesChanged(Map<String, StoredItem> items) {
+        public void valuesChanged(Map<String, StoredItem> items, Set<String> changedKeys) {
+            boolean firstRead = latestItems.isEmpty();
+            latestItems = items;
+            boolean onlyOwnAndTargets = changedKeys.stream().allMatch(key -> isOwn(key) || isTarget(items, key));
+            if (firstRead || !onlyOwnAndTargets) {
+                othersUpdate.runNow();
+            } else if (!changedKeys.stream().allMatch(this::isOwn)) {
+                // Applying any change takes a pass over all targets, so their changes are collected for a moment.
+                othersUpdate.request();
+            }
+            if (firstRead || changedKeys.stream().anyMatch(this::isOwn)) {
+                control.recordsChanged(items);
+                updateSourceSelector.grantorChanged(control.grantor(), now());
+            }
+        }
+
+        private boolean isOwn(String key) {
+            return key.startsWith(FleetRecords.PREFIX);
+        }
+
+        private boolean isTarget(Map<String, StoredItem> items, String key) {
+            StoredItem item = items.get(key);
+            return item == null
+                    ? targetKeys.contains(key)
+                    : records.read(item)
+                            .filter(StoreRecord.Target.class::isInstance)
+                            .isPresent();
+        }
+
+        private void applyOthers() {
             Map<TargetId, TargetEntry> targets = new HashMap<>();
             Set<FailureDomain> drained = new HashSet<>();
-            for (StoredItem item : items.values()) {
-                if (!item.key().startsWith(FleetRecords.PREFIX)) {
-                    records.read(item).ifPresent(storeRecord -> apply(storeRecord, targets, drained));
+            Set<String> keysOfTargets = new HashSet<>();
+            for (StoredItem item : latestItems.values()) {
+                if (!isOwn(item.key())) {
+                    records.read(item).ifPresent(storeRecord -> {
+                        apply(storeRecord, targets, drained);
+                        if (storeRecord instanceof StoreRecord.Target) {
+                            keysOfTargets.add(item.key());
+                        }
+                    });
                 }
             }
-            records.retain(items.keySet());
+            targetKeys = keysOfTargets;
+            records.retain(latestItems.keySet());
             retention.replace(targets, now());
             gateway.directory().replace(retention.entries(now()), requestTime());
             gateway.directory().replaceDrainedDomains(drained);
-            control.recordsChanged(items);
-            updateSourceSelector.grantorChanged(control.grantor(), now());
         }
 
         private Optional<StoreRecord> decode(StoredItem item) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreChange.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreChange.java
@@ -3,12 +3,21 @@
 /** A change reported by a watch. */
 public sealed interface StoreChange {
 
+    /** Returns the key of the value that was written or removed. */
+    String key();
+
     /**
      * A value was written.
      *
      * @param item the new value
      */
-    record Written(StoredItem item) implements StoreChange {}
+    record Written(StoredItem item) implements StoreChange {
+
+        @Override
+        public String key() {
+            return item.key();
+        }
+    }
 
     /**
      * A value was removed.
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -4,9 +4,11 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -45,8 +47,8 @@
     /** Receives the changes of the mirror. */
     public interface Listener {
 
-        /** Handles a change of values; the map holds all current values. */
-        void valuesChanged(Map<String, StoredItem> items);
+        /** Handles a change of values; the map holds all current values, the set the keys of those written or removed. */
+        void valuesChanged(Map<String, StoredItem> items, Set<String> changedKeys);
 
         /** Handles the confirmation that the copy was complete at the given time. */
         void confirmed(long at);
@@ -157,16 +159,18 @@
     }
 
     private void replace(List<StoredItem> all, long newRevision) {
+        Set<String> changedKeys = new HashSet<>(items.keySet());
         items.clear();
         all.forEach(item -> items.put(item.key(), item));
+        changedKeys.addAll(items.keySet());
         revision = newRevision;
-        notifyChanged();
+        notifyChanged(changedKeys);
     }
 
     /** Notifies the listener. A value that it can't handle must not stop this host from following later changes. */
-    private void notifyChanged() {
+    private void notifyChanged(Set<String> changedKeys) {
         try {
-            listener.valuesChanged(items);
+            listener.valuesChanged(items, changedKeys);
         } catch (RuntimeException unexpected) {
             LOG.error("event=update_failed revision={}", revision, unexpected);
         }
@@ -213,14 +217,16 @@
     /** Applies changes, and returns those that were new. */
     private List<StoreChange> apply(StoreClient.Changes changes) {
         List<StoreChange> applied = new ArrayList<>();
+        Set<String> changedKeys = new HashSet<>();
         for (StoreChange change : changes.changes()) {
             if (apply(change)) {
                 applied.add(change);
+                changedKeys.add(change.key());
             }
         }
         revision = Math.max(revision, changes.revision());
         if (!applied.isEmpty()) {
-            notifyChanged();
+            notifyChanged(changedKeys);
         }
         return applied;
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -98,7 +99,7 @@
         private volatile Map<String, StoredItem> items = Map.of();
 
         @Override
-        public void valuesChanged(Map<String, StoredItem> changed) {
+        public void valuesChanged(Map<String, StoredItem> changed, Set<String> changedKeys) {
             items = Map.copyOf(changed);
         }
 
@@ -187,11 +188,11 @@
     void a_listener_that_fails_once_gets_later_changes() throws Exception {
         Recorder failing = new Recorder() {
             @Override
-            public void valuesChanged(Map<String, StoredItem> changed) {
+            public void valuesChanged(Map<String, StoredItem> changed, Set<String> changedKeys) {
                 if (changed.size() == 1) {
                     throw new IllegalStateException("a value that can't be handled");
                 }
-                super.valuesChanged(changed);
+                super.valuesChanged(changed, changedKeys);
             }
         };
         mirror(unusedAddress(), Optional.empty(), failing);
