The result of renewing an earlier lease doesn't touch the present one

Cause: found by reading. A host now exchanges its lease for a longer or shorter one; a renewal of the earlier lease that was answered "ended" only after that would have dropped the new one, and the roles bound to it. Change: results for another lease than the present one are ignored. TargetState says itself whether it is leaving.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -119,7 +119,7 @@
 
     /** Returns whether neither the target itself nor its failure domain is draining, by its entry and its own answers. */
     public boolean acceptsNewWork(TargetState target) {
-        return target.leavingSince() == Long.MAX_VALUE && notDrained(target);
+        return !target.leaving() && notDrained(target);
     }
 
     /**
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -25,6 +25,8 @@
     /** Limits the harm of a target that asks for an unreasonably long pause. */
     private static final long MAX_PAUSE_MILLIS = 60_000;
 
+    private static final long NOT_LEAVING = Long.MAX_VALUE;
+
     private final int nameHash;
     private TargetEntry entry;
     private int inFlight;
@@ -45,7 +47,7 @@
     private long restsUntil = Long.MIN_VALUE / 2;
     private long pausedUntil = Long.MIN_VALUE / 2;
     private boolean resuming;
-    private long leavingSince = Long.MAX_VALUE;
+    private long leavingSince = NOT_LEAVING;
     private int completionsSinceReport;
     private double completionMillisSinceReport;
 
@@ -240,7 +242,12 @@
         leavingSince = Math.min(leavingSince, now);
     }
 
-    /** Returns when this host first heard that the target is leaving; far in the future if it has not. */
+    /** Returns whether the target announced its shutdown. */
+    public boolean leaving() {
+        return leavingSince != NOT_LEAVING;
+    }
+
+    /** Returns when this host was first told that the target is leaving; far in the future if it was not. */
     public long leavingSince() {
         return leavingSince;
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -1,5 +1,6 @@
 package org.dragonflymux.gateway.control;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -234,16 +235,7 @@
                     }
                 });
             case MembershipEffect.RenewLease renewal ->
-                store.renewLease(renewal.lease(), result -> {
-                    if (result.isRight()) {
-                        membership.leaseRenewed(now);
-                    } else if (result.getLeft() == StoreError.LEASE_ENDED) {
-                        LOG.info("event=lease_ended lease={}", renewal.lease());
-                        membership.leaseEnded();
-                    } else {
-                        membership.leaseCallFailed(clock.getAsLong());
-                    }
-                });
+                store.renewLease(renewal.lease(), result -> renewalEnded(renewal.lease(), result, now));
             case MembershipEffect.Register register ->
                 write(
                         List.of(),
@@ -263,6 +255,21 @@
         }
     }
 
+    private void renewalEnded(long lease, Either<StoreError, Long> result, long sentAt) {
+        if (lease != membership.lease()) {
+            // The host has taken another lease since then.
+            return;
+        }
+        if (result.isRight()) {
+            membership.leaseRenewed(sentAt);
+        } else if (result.getLeft() == StoreError.LEASE_ENDED) {
+            LOG.info("event=lease_ended lease={}", lease);
+            membership.leaseEnded();
+        } else {
+            membership.leaseCallFailed(clock.getAsLong());
+        }
+    }
+
     private void claimLenderPartitions(long now) {
         List<LenderElection.Claim> claims = lenderElection.due(membership.members(), membership.lease(), now);
         if (claims.isEmpty()) {
