--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/SocketAddresses.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/SocketAddresses.java
@@ -12,14 +12,18 @@
     /**
      * Parses an address.
      *
-     * @throws IllegalArgumentException if the text is not an IP address with a port from 1 to 65535
+     * @throws UnusableAddressException if the text is not an IP address with a port from 1 to 65535
      */
     public static InetSocketAddress parse(String text) {
-        HostAndPort parsed = HostAndPort.fromString(text);
-        int port = parsed.getPortOrDefault(0);
-        if (port == 0) {
-            throw new IllegalArgumentException("an address needs a port from 1 to 65535");
+        HostAndPort parsed;
+        try {
+            parsed = HostAndPort.fromString(text);
+        } catch (IllegalArgumentException malformed) {
+            throw new UnusableAddressException(text);
         }
-        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), port);
+        if (parsed.getPortOrDefault(0) == 0 || !InetAddresses.isInetAddress(parsed.getHost())) {
+            throw new UnusableAddressException(text);
+        }
+        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
     }
 }
