--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/SocketAddresses.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/SocketAddresses.java
@@ -15,15 +15,16 @@
      * @throws UnusableAddressException if the text is not an IP address with a port from 1 to 65535
      */
     public static InetSocketAddress parse(String text) {
-        HostAndPort parsed;
         try {
-            parsed = HostAndPort.fromString(text);
-        } catch (IllegalArgumentException malformed) {
-            throw new UnusableAddressException(text);
+            HostAndPort parsed = HostAndPort.fromString(text);
+            InetSocketAddress address =
+                    new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
+            if (address.getPort() > 0) {
+                return address;
+            }
+        } catch (IllegalArgumentException | IllegalStateException unusable) {
+            throw new UnusableAddressException(text, unusable);
         }
-        if (parsed.getPortOrDefault(0) == 0 || !InetAddresses.isInetAddress(parsed.getHost())) {
-            throw new UnusableAddressException(text);
-        }
-        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
+        throw new UnusableAddressException(text, null);
     }
 }
