--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -9,4 +9,4 @@
   echo "first run the build of the deploy file and review/build.sh" >&2
   exit 2
 fi
-exec "$JAVA_HOME/bin/java" -Xmx1g -cp "$root/target/review:$root/target/lib/*" ExtraAnswers "$root" "$folder"
+exec "$JAVA_HOME/bin/java" -Xmx1g -cp "$root/target/review:$root/target/lib/*" ReturningGrantor "$root" "$folder"
