--- a/review/build.sh
+++ b/review/build.sh
@@ -6,3 +6,4 @@
 rm -rf "$root/target/review"
 mkdir -p "$root/target/review"
 "$JAVA_HOME/bin/javac" -cp "$root/target/lib/*" -d "$root/target/review" "$root"/review/standin/*.java
+cp "$root/review/standin/platform.properties" "$root/target/review/"
--- a/review/standin/BrokenOffAnswers.java
+++ b/review/standin/BrokenOffAnswers.java
@@ -93,7 +93,7 @@
         String requestId = head.header("X-Request-Id");
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Request-Id", requestId);
-        headers.put("X-Response-Seal", "seal-" + requestId);
+        headers.put(Names.SEAL, "seal-" + requestId);
         int length = Integer.parseInt("0" + head.header("Content-Length"));
         if (!head.target().startsWith("/order/")) {
             in.readNBytes(length);
@@ -133,7 +133,7 @@
             Map<String, String> headers = new LinkedHashMap<>();
             headers.put("Host", Callers.HOST);
             headers.put("X-Request-Id", id);
-            headers.put("X-Deadline-Ms", "2000");
+            headers.put(Names.DEADLINE, "2000");
             headers.put("Connection", "close");
             socket.getOutputStream().write(Wire.bytes("POST /order/batch HTTP/1.1", headers, new byte[REQUEST_BYTES]));
             Wire.Message answer = Wire.read(new BufferedInputStream(socket.getInputStream()));
--- a/review/standin/Callers.java
+++ b/review/standin/Callers.java
@@ -56,7 +56,7 @@
             Map<String, String> headers = new LinkedHashMap<>();
             headers.put("Host", HOST);
             headers.put("X-Request-Id", id);
-            headers.put("X-Deadline-Ms", Integer.toString(WAIT_MILLIS));
+            headers.put(Names.DEADLINE, Integer.toString(WAIT_MILLIS));
             headers.put("X-Shard-Key", Integer.toString(key));
             headers.put("Connection", "close");
             socket.getOutputStream().write(Wire.bytes("GET " + path + " HTTP/1.1", headers, new byte[0]));
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -105,7 +105,7 @@
     }
 
     private void start(Path root, int machineCount, int targetCount) throws IOException, InterruptedException {
-        store.write("op/config", DESIRED_STATE);
+        store.write(Names.DESIRED_STATE, DESIRED_STATE);
         for (int i = 1; i <= targetCount; i++) {
             Target target = new Target(
                     store,
--- a/review/standin/Machine.java
+++ b/review/standin/Machine.java
@@ -104,7 +104,7 @@
         ProcessBuilder builder = new ProcessBuilder(command()).directory(root.toFile());
         Map<String, String> variables = builder.environment();
         variables.keySet().retainAll(KEPT_VARIABLES);
-        variables.put("DRAGONFLYMUX_NODE_FILE", settings.toString());
+        variables.put(Names.SETTINGS_VARIABLE, settings.toString());
         File log = folder.resolve(name + ".out").toFile();
         process = builder.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -127,18 +127,19 @@
         Map<String, String> query = query(parts.length > 1 ? parts[1] : "");
         String path = parts[0];
         JsonNode body = call.body().length == 0 ? json.createObjectNode() : json.readTree(call.body());
-        return switch (path) {
-            case "/kv-range" -> range(query, answer);
-            case "/kv-watch" -> watch(machine, query, answer);
-            case "/kv-txn" -> commit(machine, body, answer);
-            case "/kv-lease" -> {
-                long nanos = (long) (body.path("ttl-s_time").asDouble() * 1e9);
-                leases.put(++lastLease, new Lease(nanos, System.nanoTime() + nanos));
-                answer.put("lease", lastLease).put("ttl-s_time", body.path("ttl-s_time").asDouble());
-                yield 200;
-            }
-            default -> lease(path, answer);
-        };
+        if (path.equals(Names.RANGE)) {
+            return range(query, answer);
+        }
+        if (path.equals(Names.WATCH)) {
+            return watch(machine, query, answer);
+        }
+        if (path.equals(Names.TRANSACTION)) {
+            return commit(machine, body, answer);
+        }
+        if (path.equals(Names.LEASE)) {
+            return obtainLease(body, answer);
+        }
+        return keepOrEndLease(path, answer);
     }
 
     private static Map<String, String> query(String text) {
@@ -154,13 +155,21 @@
         return result;
     }
 
-    private int lease(String path, ObjectNode answer) {
+    private int obtainLease(JsonNode body, ObjectNode answer) {
+        double seconds = body.path("ttl-s_time").asDouble();
+        long nanos = (long) (seconds * 1e9);
+        leases.put(++lastLease, new Lease(nanos, System.nanoTime() + nanos));
+        answer.put("lease", lastLease).put("ttl-s_time", seconds);
+        return 200;
+    }
+
+    private int keepOrEndLease(String path, ObjectNode answer) {
         long id = Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
         Lease lease = leases.get(id);
         if (lease == null) {
             return 404;
         }
-        boolean keeps = path.startsWith("/kv-keep/");
+        boolean keeps = path.startsWith(Names.KEEP);
         leases.put(id, new Lease(lease.nanos(), System.nanoTime() + (keeps ? lease.nanos() : 0)));
         expireLeases();
         answer.put("lease", id);
--- a/review/standin/Target.java
+++ b/review/standin/Target.java
@@ -209,7 +209,7 @@
         String requestId = call.header("X-Request-Id");
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Request-Id", requestId);
-        if (!call.header("X-Target-Instance").equals(id)) {
+        if (!call.header(Names.TARGET_INSTANCE).equals(id)) {
             headers.put("X-Instance-Id", id);
             headers.put("X-Not-Executed", "1");
             return status(421, headers);
@@ -248,8 +248,8 @@
             current.running.remove(token);
             holders.notifyAll();
         }
-        headers.put("X-Response-Seal", "seal-" + requestId);
-        headers.put("X-Server-Load", (SLOTS - current.slots.availablePermits()) + ",0," + SLOTS + ",100");
+        headers.put(Names.SEAL, "seal-" + requestId);
+        headers.put(Names.SERVER_LOAD, (SLOTS - current.slots.availablePermits()) + ",0," + SLOTS + ",100");
         byte[] body = ("ran " + requestId + " at " + id).getBytes(StandardCharsets.US_ASCII);
         return Wire.bytes("HTTP/1.1 200 OK", headers, body);
     }
