--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -15,7 +15,7 @@
 import java.util.NavigableMap;
 import java.util.TreeMap;
 
-/** The platform's store. Each machine reaches it at a door of its own, which can refuse it while the others are served. */
+/** The platform's store. Each machine reaches it at a door of its own, which can be shut while the others are open. */
 final class Store {
 
     private static final int MAX_PAGE = 500;
--- a/review/standin/Target.java
+++ b/review/standin/Target.java
@@ -17,7 +17,7 @@
     private static final int QUEUE = 16;
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /** A request at work, with the time until which the server would hold its key if it were not released. */
+    /** A request at work. */
     record Running(int key, String requestId) {}
 
     private final ObjectMapper json = new ObjectMapper();
