A restarted target is asked for its keys before others get them

Cause: a new incarnation is known late, by its entry in the store. Until then renewals for the earlier one reach it, and it takes them, since it knows no fencing token. The entry of a newer incarnation then counted as proof that nobody holds the keys.

Fix: the new incarnation is asked like the old one: a release, after a grant under a higher fencing token if the result of a grant is unknown. A move whose owner starts once more begins again, and answers of the earlier incarnation don't count for it. Keys that stay at the restarted target are granted to it at once. A release takes a round trip, so callers lose no time without an owner.

Evidence: KeyOwnershipUnderFaultsTest plays the real control loops of three hosts in virtual time.

Ruled out: the entry host has the promise too, but its grants name the boot id of the target's process.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -64,8 +64,14 @@
     private long lastCallNumber;
     private ServiceSpec spec;
 
-    /** A call without a result yet. The step is null if the call renews a grant. */
-    private record Call(TargetId target, Assignment assignment, Step step, long sentAt) {}
+    /**
+     * A call without a result yet.
+     *
+     * @param progress the move that the call belongs to, empty if it renews a grant
+     * @param step the step of the move in which the call was sent
+     */
+    private record Call(
+            TargetId target, Assignment assignment, Optional<MoveProgress> progress, Step step, long sentAt) {}
 
     private GrantStateMachine(ServiceSpec spec, GrantSettings settings, TargetDirectory directory) {
         this.service = spec.name();
@@ -182,22 +188,34 @@
                 || target.unresponsiveMillis(now) > UNRESPONSIVE_AFTER_MILLIS && now < target.heldUntil()) {
             return;
         }
+        sendRenewal(assignment, assignment.owner(), assignment.fence(), now, effects);
+    }
+
+    private void sendRenewal(Assignment assignment, TargetId to, long fence, long now, List<GrantEffect> effects) {
         nextRenewalAt.put(assignment, now + settings.renewalIntervalMillis());
-        sendGrant(assignment, assignment.owner(), assignment.fence(), Optional.empty(), null, now, effects);
+        long call = ++lastCallNumber;
+        calls.put(call, new Call(to, assignment, Optional.empty(), Step.DONE, now));
+        addGrant(call, to, assignment.range(), fence, Optional.empty(), effects);
     }
 
     private void sendGrant(
             Assignment assignment,
+            MoveProgress progress,
             TargetId to,
             long fence,
             Optional<String> handover,
-            Step step,
             long now,
             List<GrantEffect> effects) {
+        progress.callSent();
         long call = ++lastCallNumber;
-        calls.put(call, new Call(to, assignment, step, now));
+        calls.put(call, new Call(to, assignment, Optional.of(progress), progress.step(), now));
+        addGrant(call, to, assignment.range(), fence, handover, effects);
+    }
+
+    private void addGrant(
+            long call, TargetId to, KeyRange range, long fence, Optional<String> handover, List<GrantEffect> effects) {
         grantsOf(to).callSent();
-        effects.add(new GrantEffect.Grant(call, to, assignment.range(), fence, settings.holdMillis(), handover));
+        effects.add(new GrantEffect.Grant(call, to, range, fence, settings.holdMillis(), handover));
     }
 
     private void advanceMove(Assignment assignment, long now, List<GrantEffect> effects) {
@@ -214,34 +232,39 @@
             progress.advanceTo(Step.DONE);
             return;
         }
-        boolean expired =
-                now >= progress.expiresAt() && !grantsOf(assignment.owner()).hasOutstandingCalls();
-        boolean waitsForOwner = progress.step() == Step.AWAIT_EXPIRY
-                || progress.step() == Step.RELEASE
-                || progress.step() == Step.FENCE_OWNER;
-        if (waitsForOwner && (expired || hasNewerIncarnation(assignment.owner(), assignment.incarnation()))) {
-            progress.advanceTo(Step.GRANT);
+        if (progress.waitsForOwner()) {
+            progress = checkOwner(assignment, progress, now);
         }
-        if (!progress.mayCall(now)) {
-            return;
+        if (progress.mayCall(now)) {
+            sendCall(assignment, progress, now, effects);
         }
+    }
+
+    /**
+     * Ends the wait for the old owner if it can't hold the keys any longer. An incarnation that started since then may hold
+     * them as well, by a renewal that reached it before its entry was read, so it is asked like the earlier one.
+     */
+    private MoveProgress checkOwner(Assignment assignment, MoveProgress progress, long now) {
+        TargetId owner = assignment.owner();
+        boolean expired = now >= progress.expiresAt() && !grantsOf(owner).hasOutstandingCalls();
+        boolean staysAtTarget = assignment.move().orElseThrow().to().equals(owner);
+        if (expired || staysAtTarget) {
+            progress.advanceTo(Step.GRANT);
+        } else if (hasNewerIncarnation(owner, progress.ownerIncarnation())) {
+            MoveProgress restarted = startMove(assignment, now);
+            moves.put(assignment, restarted);
+            return restarted;
+        }
+        return progress;
+    }
+
+    private void sendCall(Assignment assignment, MoveProgress progress, long now, List<GrantEffect> effects) {
+        Move move = assignment.move().orElseThrow();
         switch (progress.step()) {
-            case FENCE_OWNER -> {
-                progress.callSent();
-                sendGrant(
-                        assignment,
-                        assignment.owner(),
-                        move.fence() - 1,
-                        Optional.empty(),
-                        Step.FENCE_OWNER,
-                        now,
-                        effects);
-            }
+            case FENCE_OWNER ->
+                sendGrant(assignment, progress, assignment.owner(), move.fence() - 1, Optional.empty(), now, effects);
             case RELEASE -> sendRelease(assignment, progress, now, effects);
-            case GRANT -> {
-                progress.callSent();
-                sendGrant(assignment, move.to(), move.fence(), progress.handover(), Step.GRANT, now, effects);
-            }
+            case GRANT -> sendGrant(assignment, progress, move.to(), move.fence(), progress.handover(), now, effects);
             case AWAIT_EXPIRY, DONE -> {}
         }
     }
@@ -252,8 +275,7 @@
         if (nextRenewalAt.getOrDefault(assignment, Long.MIN_VALUE) <= now
                 && target.mayCall(now)
                 && !hasNewerIncarnation(move.to(), move.incarnation())) {
-            nextRenewalAt.put(assignment, now + settings.renewalIntervalMillis());
-            sendGrant(assignment, move.to(), move.fence(), Optional.empty(), null, now, effects);
+            sendRenewal(assignment, move.to(), move.fence(), now, effects);
         }
     }
 
@@ -269,7 +291,7 @@
         if (owner.hasOutstandingCalls()) {
             expiresAt = Math.max(expiresAt, now + settings.callTimeoutMillis() + settings.worstCaseHoldMillis());
         }
-        MoveProgress progress = new MoveProgress(first, assignment.fence(), expiresAt);
+        MoveProgress progress = new MoveProgress(first, knownIncarnation(assignment), assignment.fence(), expiresAt);
         progress.retryAt(now + PROPAGATION_DELAY_MILLIS);
         return progress;
     }
@@ -282,15 +304,23 @@
     private MoveProgress resumeMove(Assignment assignment, long now) {
         long ownerFence = assignment.move().orElseThrow().fence() - 1;
         MoveProgress progress = new MoveProgress(
-                Step.RELEASE, ownerFence, grantsOf(assignment.owner()).heldUntil());
+                Step.RELEASE,
+                knownIncarnation(assignment),
+                ownerFence,
+                grantsOf(assignment.owner()).heldUntil());
         progress.retryAt(Math.max(now, leadingSince + settings.callTimeoutMillis()));
         return progress;
     }
 
+    /** Returns the incarnation of the owner that calls are sent to now. */
+    private long knownIncarnation(Assignment assignment) {
+        return Math.max(assignment.incarnation(), incarnationOf(assignment.owner()));
+    }
+
     private void sendRelease(Assignment assignment, MoveProgress progress, long now, List<GrantEffect> effects) {
         progress.callSent();
         long call = ++lastCallNumber;
-        calls.put(call, new Call(assignment.owner(), assignment, Step.RELEASE, now));
+        calls.put(call, new Call(assignment.owner(), assignment, Optional.of(progress), Step.RELEASE, now));
         effects.add(new GrantEffect.Release(call, assignment.owner(), assignment.range(), progress.ownerFence()));
     }
 
@@ -304,16 +334,16 @@
         if (call.step != Step.RELEASE) {
             grantsOf(call.target).callEnded(result, call.sentAt, now);
         }
-        MoveProgress progress = moves.get(call.assignment);
-        if (call.step == null) {
+        Optional<MoveProgress> current = Optional.ofNullable(moves.get(call.assignment));
+        if (call.progress.isEmpty()) {
             if (!(result instanceof GrantResult.Done)) {
                 nextRenewalAt.remove(call.assignment);
             }
-        } else if (progress != null && progress.step() == call.step) {
-            moveCallEnded(call, progress, result, now);
+        } else if (call.progress.equals(current) && call.progress.get().step() == call.step) {
+            moveCallEnded(call, call.progress.get(), result, now);
         }
         if (leading) {
-            if (progress != null && call.assignment.move().isPresent()) {
+            if (current.isPresent() && call.assignment.move().isPresent()) {
                 advanceMove(call.assignment, now, effects);
             }
             updateTable(now, effects);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/MoveProgress.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/MoveProgress.java
@@ -18,6 +18,7 @@
         DONE
     }
 
+    private final long ownerIncarnation;
     private Step step;
     private long expiresAt;
     private boolean callOutstanding;
@@ -25,8 +26,9 @@
     private long ownerFence;
     private Optional<String> handover = Optional.empty();
 
-    MoveProgress(Step first, long ownerFence, long expiresAt) {
+    MoveProgress(Step first, long ownerIncarnation, long ownerFence, long expiresAt) {
         this.step = first;
+        this.ownerIncarnation = ownerIncarnation;
         this.ownerFence = ownerFence;
         this.expiresAt = expiresAt;
     }
@@ -35,6 +37,19 @@
         return step;
     }
 
+    /** Returns whether the old owner may still hold the keys. */
+    boolean waitsForOwner() {
+        return switch (step) {
+            case FENCE_OWNER, RELEASE, AWAIT_EXPIRY -> true;
+            case GRANT, DONE -> false;
+        };
+    }
+
+    /** Returns the latest incarnation of the old owner that was known when the move began. */
+    long ownerIncarnation() {
+        return ownerIncarnation;
+    }
+
     long expiresAt() {
         return expiresAt;
     }
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -0,0 +1,54 @@
+package org.dragonflymux.gateway.control.simulation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Guards against two targets that hold the same key for over half a second, on schedules of faults drawn from seeds. The
+ * environment variable {@code STORM_SEEDS} sets the number of seeds.
+ */
+class KeyOwnershipUnderFaultsTest {
+
+    private static final int HOSTS = 3;
+    private static final int TARGETS = 8;
+    private static final long START_MILLIS = 8_000;
+    private static final long RUN_MILLIS = 90_000;
+    /** The least share of keys and time with an owner; a deployment that grants nothing would keep the rule. */
+    private static final double MIN_HELD_SHARE = 0.8;
+
+    private static final String SEEDS = "org.dragonflymux.gateway.control.simulation.KeyOwnershipUnderFaultsTest#seeds";
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.parseLong(System.getenv().getOrDefault("STORM_SEEDS", "5")));
+    }
+
+    private static SimulatedDeployment started(long seed) {
+        SimulatedDeployment deployment = new SimulatedDeployment(seed, HOSTS, TARGETS);
+        deployment.runUntil(START_MILLIS);
+        return deployment;
+    }
+
+    private static void assertSingleOwners(SimulatedDeployment deployment) {
+        deployment.runUntil(RUN_MILLIS);
+        assertThat(deployment.targets().violations()).isEmpty();
+        assertThat(deployment.targets().heldShare()).isGreaterThan(MIN_HELD_SHARE);
+    }
+
+    @Nested
+    class RestartedTargets {
+
+        /** A target that was back under its id took a renewal; its keys went to another at once, and both held them. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void are_asked_for_their_keys_before_others_get_them(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.repeat(2_000, 6_000, () -> deployment.restartTarget(300, 1_500));
+
+            assertSingleOwners(deployment);
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
@@ -0,0 +1,77 @@
+package org.dragonflymux.gateway.control.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.shard.GrantSettings;
+
+/** Hosts and targets of one service with shard keys, its traffic, and faults that are drawn from a seed. */
+final class SimulatedDeployment {
+
+    private static final ServiceName SERVICE = ServiceName.of("orders");
+    private static final GrantSettings SETTINGS = GrantSettings.forMaxHold(10_000);
+    private static final long TRAFFIC_INTERVAL_MILLIS = 100;
+    private static final int REQUESTS_PER_INTERVAL = 30;
+    private static final long HOT_KEY_MILLIS = 6_000;
+
+    private final SplittableRandom random;
+    private final VirtualTime time = new VirtualTime();
+    private final SimulatedStore store;
+    private final SimulatedTargets targets;
+    private final List<SimulatedHost> hosts = new ArrayList<>();
+
+    SimulatedDeployment(long seed, int hostCount, int targetCount) {
+        random = new SplittableRandom(seed);
+        store = new SimulatedStore(time, random.split());
+        targets = new SimulatedTargets(targetCount, SERVICE, time, store, random.split());
+        ServiceSpec service = new ServiceSpec(SERVICE, "/health", 100, 3_000, 10, true);
+        for (int i = 0; i < hostCount; i++) {
+            SimulatedHost host =
+                    new SimulatedHost("host-" + i, service, SETTINGS, time, store, targets, random.split());
+            hosts.add(host);
+            time.after(random.nextInt(300), host::start);
+        }
+        time.after(1_000, () -> time.every(TRAFFIC_INTERVAL_MILLIS, this::sendRequests));
+    }
+
+    private boolean sendRequests() {
+        int hotKey = (int) (time.now() / HOT_KEY_MILLIS * 7_919 % 65_536);
+        int[] keys = new int[REQUESTS_PER_INTERVAL];
+        for (int i = 0; i < keys.length; i++) {
+            keys[i] = random.nextBoolean() ? Math.min(hotKey + random.nextInt(300), 65_535) : random.nextInt(65_536);
+        }
+        hosts.forEach(host -> host.recordKeyRequests(keys));
+        return true;
+    }
+
+    /** Repeats a fault with a pause of random length before each. */
+    void repeat(int minPauseMillis, int maxPauseMillis, Runnable fault) {
+        time.after(random.nextInt(minPauseMillis, maxPauseMillis), () -> {
+            fault.run();
+            repeat(minPauseMillis, maxPauseMillis, fault);
+        });
+    }
+
+    /** Crashes a random target, which is back under its id after a while. */
+    void restartTarget(int minDownMillis, int maxDownMillis) {
+        SimulatedTarget target = targets.all().get(random.nextInt(targets.all().size()));
+        if (target.up()) {
+            target.crash();
+            time.after(random.nextInt(minDownMillis, maxDownMillis), () -> targets.start(target));
+        }
+    }
+
+    void runUntil(long end) {
+        time.runUntil(end);
+    }
+
+    SimulatedTargets targets() {
+        return targets;
+    }
+
+    SimulatedStore store() {
+        return store;
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
@@ -0,0 +1,178 @@
+package org.dragonflymux.gateway.control.simulation;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.dragonflymux.core.balance.TargetDirectory;
+import org.dragonflymux.core.balance.TargetEntry;
+import org.dragonflymux.core.desired.DesiredState;
+import org.dragonflymux.core.desired.RequestLimits;
+import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.MembershipStateMachine;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.HostId;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.quota.LenderPartition;
+import org.dragonflymux.core.shard.GrantEffect;
+import org.dragonflymux.core.shard.GrantResult;
+import org.dragonflymux.core.shard.GrantSettings;
+import org.dragonflymux.core.shard.ShardTable;
+import org.dragonflymux.gateway.control.ControlLoop;
+import org.dragonflymux.gateway.control.GrantClient;
+
+/** A host with a real control loop, whose calls and updates take their way through the simulation. */
+final class SimulatedHost {
+
+    private static final long TICK_MILLIS = 50;
+    private static final long UPDATE_MILLIS = 20;
+    private static final long TARGET_UPDATE_MILLIS = 220;
+    /** The longest time that a host takes to read the store again after calls of it were unanswered. */
+    private static final int MAX_RESYNC_MILLIS = 3_000;
+
+    private final VirtualTime time;
+    private final SimulatedStore store;
+    private final SimulatedTargets targets;
+    private final SplittableRandom random;
+    private final GrantSettings settings;
+    private final ServiceSpec service;
+    private final String name;
+    private Process process;
+    private long clockOffset;
+    private long resyncAt;
+    private boolean wasAnswered = true;
+
+    /** One incarnation of the host. */
+    private final class Process implements ControlLoop.Listener {
+
+        private final TargetDirectory directory = TargetDirectory.empty();
+        private final ControlLoop control;
+        private long seenRevision;
+        private boolean running = true;
+
+        private Process() {
+            FleetMember self =
+                    new FleetMember(HostId.of(name), time.now() + 1, FailureDomain.of("a"), "127.0.0.1:7100");
+            control = ControlLoop.of(
+                    store.clientOf(name, () -> running),
+                    new Grants(),
+                    MembershipStateMachine.of(self, settings.renewalGraceMillis()),
+                    settings,
+                    directory,
+                    () -> time.now() + clockOffset,
+                    this);
+            control.desiredStateChanged(new DesiredState(
+                    1, Map.of(), Map.of(service.name(), service), Map.of(), false, new RequestLimits(1, 1, 1, 1)));
+            time.every(TICK_MILLIS, this::tick);
+            time.every(UPDATE_MILLIS, this::update);
+        }
+
+        private boolean tick() {
+            if (running) {
+                control.tick();
+            }
+            return running;
+        }
+
+        private boolean update() {
+            if (!running) {
+                return false;
+            }
+            boolean answered = store.answers(name);
+            if (answered && !wasAnswered) {
+                resyncAt = time.now() + random.nextInt(MAX_RESYNC_MILLIS);
+            }
+            wasAnswered = answered;
+            if (answered && time.now() >= resyncAt && store.revision() > seenRevision) {
+                apply(store.snapshot());
+            }
+            return true;
+        }
+
+        private void apply(SimulatedStore.Snapshot snapshot) {
+            seenRevision = snapshot.revision();
+            control.recordsChanged(snapshot.items());
+            time.after(TARGET_UPDATE_MILLIS, () -> directory.replace(snapshot.targets(), time.now()));
+        }
+
+        @Override
+        public void tableChanged(ServiceName changed, ShardTable table) {}
+
+        @Override
+        public void hostsChanged(Map<HostId, FleetMember> members) {}
+
+        @Override
+        public void lenderPartitionsChanged(Collection<LenderPartition> lenderPartitions) {}
+
+        @Override
+        public void leaseUpdated(long lease, long until) {}
+
+        /** Calls to targets; the results of calls that this incarnation made are lost when it ends. */
+        private final class Grants implements GrantClient {
+
+            @Override
+            public void grant(TargetEntry to, GrantEffect.Grant grant, long timeout, Consumer<GrantResult> result) {
+                targets.grant(to.id(), grant, timeout, ifRunning(result));
+            }
+
+            @Override
+            public void release(
+                    TargetEntry to, GrantEffect.Release release, long timeout, Consumer<GrantResult> result) {
+                targets.release(to.id(), release, timeout, ifRunning(result));
+            }
+
+            private Consumer<GrantResult> ifRunning(Consumer<GrantResult> result) {
+                return outcome -> {
+                    if (running) {
+                        result.accept(outcome);
+                    }
+                };
+            }
+        }
+    }
+
+    SimulatedHost(
+            String name,
+            ServiceSpec service,
+            GrantSettings settings,
+            VirtualTime time,
+            SimulatedStore store,
+            SimulatedTargets targets,
+            SplittableRandom random) {
+        this.name = name;
+        this.service = service;
+        this.settings = settings;
+        this.time = time;
+        this.store = store;
+        this.targets = targets;
+        this.random = random;
+    }
+
+    void start() {
+        process = new Process();
+    }
+
+    void kill() {
+        process.running = false;
+    }
+
+    boolean running() {
+        return process.running;
+    }
+
+    boolean leading() {
+        return process.running && process.control.leading();
+    }
+
+    String name() {
+        return name;
+    }
+
+    void recordKeyRequests(int[] keys) {
+        if (process.running) {
+            process.control.recordKeyRequests(new HashMap<>(Map.of(service.name(), keys)));
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
@@ -0,0 +1,218 @@
+package org.dragonflymux.gateway.control.simulation;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.dragonflymux.core.balance.TargetEntry;
+import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.gateway.store.StoreClient;
+import org.dragonflymux.gateway.store.StoreError;
+import org.dragonflymux.gateway.store.StoredItem;
+
+/** A linearizable store with leases. It can stop answering single hosts, and it can lose answers. */
+final class SimulatedStore {
+
+    private static final long ONE_WAY_MILLIS = 3;
+    private static final long CALL_TIMEOUT_MILLIS = 1_500;
+    private static final long LEASE_CHECK_MILLIS = 20;
+
+    private final VirtualTime time;
+    private final SplittableRandom random;
+    private final Map<String, StoredItem> items = new TreeMap<>();
+    private final Map<String, Long> leaseOfKey = new HashMap<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final Map<TargetId, TargetEntry> targets = new HashMap<>();
+    private final Set<String> unanswered = new HashSet<>();
+    private long revision = 100;
+    private double lostAnswerShare;
+
+    private static final class Lease {
+        private final long millis;
+        private long endsAt;
+
+        private Lease(long millis, long now) {
+            this.millis = millis;
+            renew(now);
+        }
+
+        private void renew(long now) {
+            endsAt = now + millis;
+        }
+    }
+
+    /** The content of the store at one revision. */
+    record Snapshot(long revision, Map<String, StoredItem> items, List<TargetEntry> targets) {}
+
+    SimulatedStore(VirtualTime time, SplittableRandom random) {
+        this.time = time;
+        this.random = random;
+        time.every(LEASE_CHECK_MILLIS, this::endLeases);
+    }
+
+    /** Sets whether calls of a host get no answer; they are not carried out either. */
+    void answers(String host, boolean answering) {
+        if (answering) {
+            unanswered.remove(host);
+        } else {
+            unanswered.add(host);
+        }
+    }
+
+    boolean answers(String host) {
+        return !unanswered.contains(host);
+    }
+
+    void loseAnswers(double share) {
+        lostAnswerShare = share;
+    }
+
+    void registerTarget(TargetEntry entry) {
+        revision++;
+        targets.put(entry.id(), entry);
+    }
+
+    void removeTarget(TargetId id) {
+        revision++;
+        targets.remove(id);
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    Snapshot snapshot() {
+        return new Snapshot(revision, Map.copyOf(items), List.copyOf(targets.values()));
+    }
+
+    private boolean endLeases() {
+        leases.entrySet().removeIf(entry -> {
+            boolean ended = entry.getValue().endsAt <= time.now();
+            if (ended) {
+                removeKeysOf(entry.getKey());
+            }
+            return ended;
+        });
+        return true;
+    }
+
+    private void removeKeysOf(long lease) {
+        for (String key : List.copyOf(leaseOfKey.keySet())) {
+            if (leaseOfKey.get(key) == lease) {
+                leaseOfKey.remove(key);
+                items.remove(key);
+                revision++;
+            }
+        }
+    }
+
+    private long revisionOf(String key) {
+        StoredItem item = items.get(key);
+        return item == null ? 0 : item.revision();
+    }
+
+    private Either<StoreError, Long> commit(List<StoreClient.ExpectedRevision> expected, List<StoreClient.Put> puts) {
+        if (expected.stream().anyMatch(row -> revisionOf(row.key()) != row.revision())) {
+            return Either.left(StoreError.CONFLICT);
+        }
+        if (puts.stream().anyMatch(put -> put.lease() != 0 && !leases.containsKey(put.lease()))) {
+            return Either.left(StoreError.LEASE_ENDED);
+        }
+        revision++;
+        for (StoreClient.Put put : puts) {
+            items.put(put.key(), new StoredItem(put.key(), put.value(), revision));
+            leaseOfKey.remove(put.key());
+            if (put.lease() != 0) {
+                leaseOfKey.put(put.key(), put.lease());
+            }
+        }
+        return Either.right(revision);
+    }
+
+    private Either<StoreError, Long> obtain(long millis) {
+        long id = ++revision;
+        leases.put(id, new Lease(millis, time.now()));
+        return Either.right(id);
+    }
+
+    private Either<StoreError, Long> renew(long id) {
+        Lease lease = leases.get(id);
+        if (lease == null) {
+            return Either.left(StoreError.LEASE_ENDED);
+        }
+        lease.renew(time.now());
+        return Either.right(id);
+    }
+
+    private Either<StoreError, Long> end(long id) {
+        leases.remove(id);
+        removeKeysOf(id);
+        return Either.right(id);
+    }
+
+    StoreClient clientOf(String host, Supplier<Boolean> running) {
+        return new Client(host, running);
+    }
+
+    private final class Client implements StoreClient {
+
+        private final String host;
+        private final Supplier<Boolean> running;
+
+        private Client(String host, Supplier<Boolean> running) {
+            this.host = host;
+            this.running = running;
+        }
+
+        private <T> void call(Supplier<Either<StoreError, T>> action, Consumer<Either<StoreError, T>> result) {
+            time.after(ONE_WAY_MILLIS + random.nextInt(4), () -> {
+                boolean answered = answers(host);
+                boolean lost = random.nextDouble() < lostAnswerShare;
+                Either<StoreError, T> outcome = answered ? action.get() : Either.left(StoreError.UNKNOWN);
+                boolean delivered = answered && !lost;
+                time.after(delivered ? ONE_WAY_MILLIS : CALL_TIMEOUT_MILLIS, () -> {
+                    if (running.get()) {
+                        result.accept(delivered ? outcome : Either.left(StoreError.UNKNOWN));
+                    }
+                });
+            });
+        }
+
+        @Override
+        public void range(String prefix, Consumer<Either<StoreError, Range>> result) {
+            call(() -> Either.right(new Range(new ArrayList<>(items.values()), revision)), result);
+        }
+
+        @Override
+        public void watch(String prefix, long after, long waitMillis, Consumer<Either<StoreError, Changes>> result) {
+            throw new UnsupportedOperationException("hosts read whole snapshots here");
+        }
+
+        @Override
+        public void commit(List<ExpectedRevision> expected, List<Put> puts, Consumer<Either<StoreError, Long>> result) {
+            call(() -> SimulatedStore.this.commit(expected, puts), result);
+        }
+
+        @Override
+        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
+            call(() -> obtain(millis), result);
+        }
+
+        @Override
+        public void renewLease(long lease, Consumer<Either<StoreError, Long>> result) {
+            call(() -> renew(lease), result);
+        }
+
+        @Override
+        public void endLease(long lease, Consumer<Either<StoreError, Long>> result) {
+            call(() -> end(lease), result);
+        }
+    }
+}
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
@@ -0,0 +1,146 @@
+package org.dragonflymux.gateway.control.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.core.shard.GrantEffect;
+import org.dragonflymux.core.shard.GrantResult;
+
+/** All targets, the way of calls to them, and the check that no two of them hold the same key. */
+final class SimulatedTargets {
+
+    private static final long ONE_WAY_MILLIS = 2;
+    private static final long SAMPLE_MILLIS = 25;
+    private static final int MAX_LATE_MILLIS = 4_000;
+    private static final int MAX_WORK_MILLIS = 150;
+    /** How long two targets may hold the same key, in milliseconds. */
+    private static final long MAX_SHARED_MILLIS = 500;
+
+    private final VirtualTime time;
+    private final SimulatedStore store;
+    private final SplittableRandom random;
+    private final List<SimulatedTarget> targets = new ArrayList<>();
+    private final long[] sharedSince = new long[SimulatedTarget.KEYS];
+    private final List<String> violations = new ArrayList<>();
+    private double lateShare;
+    private long heldKeySamples;
+    private long keySamples;
+
+    SimulatedTargets(int count, ServiceName service, VirtualTime time, SimulatedStore store, SplittableRandom random) {
+        this.time = time;
+        this.store = store;
+        this.random = random;
+        for (int i = 0; i < count; i++) {
+            SimulatedTarget target = new SimulatedTarget(TargetId.of("target-" + i), service);
+            targets.add(target);
+            start(target);
+        }
+        time.every(SAMPLE_MILLIS, this::checkHolders);
+    }
+
+    List<SimulatedTarget> all() {
+        return targets;
+    }
+
+    /** Starts a target, which accepts calls and registers at once. */
+    void start(SimulatedTarget target) {
+        target.start(time.now());
+        store.registerTarget(target.entry());
+    }
+
+    /** Sets the share of grants that are carried out late and not answered. */
+    void lateGrants(double share) {
+        lateShare = share;
+    }
+
+    private SimulatedTarget target(TargetId id) {
+        return targets.stream()
+                .filter(target -> target.id().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    void grant(TargetId id, GrantEffect.Grant grant, long timeoutMillis, Consumer<GrantResult> result) {
+        LongFunction<GrantResult> action =
+                arrivedAt -> target(id).grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedAt);
+        arrive(id, result, target -> {
+            if (random.nextDouble() >= lateShare) {
+                answer(action.apply(time.now()), 0, result);
+                return;
+            }
+            long arrivedAt = time.now();
+            long incarnation = target.incarnation();
+            time.after(random.nextInt(MAX_LATE_MILLIS), () -> {
+                if (target.up() && target.incarnation() == incarnation) {
+                    action.apply(arrivedAt);
+                }
+            });
+            time.after(timeoutMillis, () -> result.accept(new GrantResult.Unknown()));
+        });
+    }
+
+    void release(TargetId id, GrantEffect.Release release, long timeoutMillis, Consumer<GrantResult> result) {
+        arrive(
+                id,
+                result,
+                target -> answer(
+                        target.release(release.range(), release.fence()), random.nextInt(MAX_WORK_MILLIS), result));
+    }
+
+    /** Delivers a call to the incarnation that runs when it arrives; with none, the connection is refused. */
+    private void arrive(TargetId id, Consumer<GrantResult> result, Consumer<SimulatedTarget> action) {
+        time.after(ONE_WAY_MILLIS + random.nextInt(3), () -> {
+            SimulatedTarget target = target(id);
+            if (target.up()) {
+                action.accept(target);
+            } else {
+                answer(new GrantResult.NotSent(), 0, result);
+            }
+        });
+    }
+
+    private void answer(GrantResult outcome, long workMillis, Consumer<GrantResult> result) {
+        time.after(workMillis + ONE_WAY_MILLIS, () -> result.accept(outcome));
+    }
+
+    private boolean checkHolders() {
+        long now = time.now();
+        for (int key = 0; key < SimulatedTarget.KEYS; key++) {
+            int holders = countHolders(key, now);
+            keySamples++;
+            heldKeySamples += holders == 0 ? 0 : 1;
+            if (holders < 2) {
+                sharedSince[key] = Long.MAX_VALUE;
+            } else {
+                sharedSince[key] = Math.min(sharedSince[key], now);
+                if (now - sharedSince[key] > MAX_SHARED_MILLIS) {
+                    violations.add("at " + now + " ms two targets hold key " + key * SimulatedTarget.KEY_STEP);
+                    sharedSince[key] = Long.MAX_VALUE;
+                }
+            }
+        }
+        return true;
+    }
+
+    private int countHolders(int key, long now) {
+        int holders = 0;
+        for (SimulatedTarget target : targets) {
+            holders += target.holds(key, now) ? 1 : 0;
+        }
+        return holders;
+    }
+
+    /** Returns the times and keys for which two targets held the same key for too long. */
+    List<String> violations() {
+        return violations;
+    }
+
+    /** Returns the share of all keys and time in which a key was held. */
+    double heldShare() {
+        return (double) heldKeySamples / keySamples;
+    }
+}
