A grantor acts in a term, which another lease doesn't continue

Cause: the role was joined from facts of different ages, a copied record that named this host and any lease of it. A host that came back with a new lease before its copy was up to date counted as the grantor by a role that had ended, and renewed its outdated table.

Fix: a term is one value, the host, the lease that the record is bound to and the record's revision. The role lasts until 10 s after the lease of the term was confirmed; tables are written and keys moved only while that lease is valid. The same cause elsewhere: a claim is now conditional on the last grantor's record too, since the grantor's key is absent before and after a whole term of another host; a new term of the same host starts without the knowledge of an earlier one; a new lease is valid from the sending of its own call.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipEffect.java
@@ -1,5 +1,7 @@
 package org.dragonflymux.core.membership;
 
+import java.util.Optional;
+
 /** An action requested by the membership state machine. */
 public sealed interface MembershipEffect {
 
@@ -26,19 +28,26 @@
     record Register(long lease, FleetMember record) implements MembershipEffect {}
 
     /**
-     * Become the grantor if the grantor's key is unchanged.
+     * Become the grantor if both keys are unchanged.
      *
-     * @param lease the id of the lease that the key is bound to
+     * @param lease the id of the lease that the grantor's key is bound to
      * @param record the record of this host
-     * @param expectedRevision the expected revision of the key, 0 if the key must not exist
+     * @param expectedRevision the expected revision of the grantor's key, 0 if the key must not exist
+     * @param expectedLastGrantorRevision the expected revision of the last grantor's key, 0 if the key must not exist
      */
-    record ClaimGrantorRole(long lease, FleetMember record, long expectedRevision) implements MembershipEffect {}
+    record ClaimGrantorRole(long lease, FleetMember record, long expectedRevision, long expectedLastGrantorRevision)
+            implements MembershipEffect {}
 
     /**
-     * Report that this host became the grantor or stopped being it.
+     * Report that a term of this host as the grantor began or ended.
      *
-     * @param leading whether this host is the grantor
+     * @param term the term, empty if this host is not the grantor
      * @param predecessorEnded whether the previous grantor is known to have ended, so that no other host renews grants
      */
-    record GrantorRoleChanged(boolean leading, boolean predecessorEnded) implements MembershipEffect {}
+    record GrantorRoleChanged(Optional<GrantorTerm> term, boolean predecessorEnded) implements MembershipEffect {
+
+        public boolean leading() {
+            return term.isPresent();
+        }
+    }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -49,13 +49,17 @@
     private long confirmedAt = Long.MIN_VALUE / 2;
     private long nextLeaseCallAt = Long.MIN_VALUE;
     private long nextWriteAt = Long.MIN_VALUE;
-    private Optional<FleetMember> grantor = Optional.empty();
+    private Optional<GrantorTerm> grantor = Optional.empty();
     private Optional<FleetMember> lastGrantor = Optional.empty();
+    private long lastGrantorRevision;
     private boolean predecessorEnded;
-    private long grantorRevision;
     private long grantorAbsentSince = Long.MAX_VALUE;
     private boolean synced;
-    private boolean leading;
+    /** The last term of this host that it knows of, which may have ended, and when its lease was last confirmed. */
+    private Optional<GrantorTerm> ownTerm = Optional.empty();
+
+    private long ownTermConfirmedAt = Long.MIN_VALUE / 2;
+    private Optional<GrantorTerm> activeTerm = Optional.empty();
     private boolean stopping;
 
     private MembershipStateMachine(FleetMember self, long renewalGraceMillis) {
@@ -93,26 +97,36 @@
         members.remove(host);
     }
 
-    /** Records the current grantor and the revision of its key. */
-    public void grantorChanged(Optional<FleetMember> record, long revision, long now) {
-        if (record.isPresent()) {
+    /** Records the current term of a grantor; empty if its key does not exist. */
+    public void grantorChanged(Optional<GrantorTerm> term, long now) {
+        if (term.isPresent()) {
             grantorAbsentSince = Long.MAX_VALUE;
         } else if (grantor.isPresent() || grantorAbsentSince == Long.MAX_VALUE) {
             grantorAbsentSince = now;
         }
-        grantor = record;
-        grantorRevision = revision;
+        grantor = term;
+        Optional<GrantorTerm> own = term.filter(current -> current.holder().sameIncarnation(self));
+        if (!own.equals(ownTerm)) {
+            ownTerm = own;
+            ownTermConfirmedAt = boundToPresentLease(own) ? confirmedAt : Long.MIN_VALUE / 2;
+        }
+    }
+
+    private boolean boundToPresentLease(Optional<GrantorTerm> term) {
+        return lease != 0 && term.filter(held -> held.lease() == lease).isPresent();
     }
 
     /** Records the last host that claimed the grantor role, whether or not its lease is still valid. */
-    public void lastGrantorChanged(Optional<FleetMember> record) {
+    public void lastGrantorChanged(Optional<FleetMember> record, long revision) {
         lastGrantor = record;
+        lastGrantorRevision = revision;
     }
 
     /** Records a new lease. It starts no earlier than the call was sent, so its validity is counted from that time. */
     public void leaseObtained(long newLease, long sentAt) {
         lease = newLease;
         leaseMillis = requestedLeaseMillis;
+        confirmedAt = sentAt;
         leaseRenewed(sentAt);
     }
 
@@ -120,6 +134,9 @@
     public void leaseRenewed(long sentAt) {
         failedLeaseCalls = 0;
         confirmedAt = Math.max(confirmedAt, sentAt);
+        if (boundToPresentLease(ownTerm)) {
+            ownTermConfirmedAt = confirmedAt;
+        }
         nextLeaseCallAt = sentAt + (hasShortLease() ? RENEWAL_INTERVAL_MILLIS : LONG_RENEWAL_INTERVAL_MILLIS);
     }
 
@@ -152,7 +169,7 @@
     }
 
     private boolean needsShortLease(long now) {
-        return hasRole || leading || !registered() || now - roleSoughtAt < SHORT_LEASE_MILLIS_AFTER_ROLE;
+        return hasRole || activeTerm.isPresent() || !registered() || now - roleSoughtAt < SHORT_LEASE_MILLIS_AFTER_ROLE;
     }
 
     /** Records that a write succeeded or failed. */
@@ -174,6 +191,11 @@
         return lease != 0 && now < confirmedAt + leaseMillis;
     }
 
+    /** Returns whether this host is the grantor and the lease of its term is known to be valid in the store. */
+    public boolean termConfirmed(long now) {
+        return activeTerm.isPresent() && boundToPresentLease(activeTerm) && leaseConfirmed(now);
+    }
+
     /** Returns until when the lease is known to be valid, with a margin for a local clock slower than the store's. */
     public long leaseValidUntil() {
         return stopping ? Long.MIN_VALUE : confirmedAt + leaseMillis - CLOCK_MARGIN_MILLIS;
@@ -198,11 +220,12 @@
     }
 
     public Optional<FleetMember> grantor() {
-        return grantor;
+        return grantor.map(GrantorTerm::holder);
     }
 
-    public long grantorRevision() {
-        return grantorRevision;
+    /** Returns the term in which this host is the grantor, if it is. */
+    public Optional<GrantorTerm> activeTerm() {
+        return activeTerm;
     }
 
     public FleetMember self() {
@@ -250,7 +273,8 @@
             predecessorEnded = lastGrantor
                     .map(last -> last.host().equals(self.host()) || hasEnded(last))
                     .orElse(true);
-            effects.add(new MembershipEffect.ClaimGrantorRole(lease, self, grantorRevision));
+            effects.add(new MembershipEffect.ClaimGrantorRole(
+                    lease, self, grantor.map(GrantorTerm::revision).orElse(0L), lastGrantorRevision));
         }
     }
 
@@ -261,9 +285,9 @@
 
     private boolean mayClaim(long now) {
         if (grantor.isPresent()) {
-            boolean heldByEarlierIncarnation =
-                    grantor.get().host().equals(self.host()) && !grantor.get().sameIncarnation(self);
-            return heldByEarlierIncarnation || hasEnded(grantor.get());
+            FleetMember holder = grantor.get().holder();
+            boolean heldByEarlierIncarnation = holder.host().equals(self.host()) && !holder.sameIncarnation(self);
+            return heldByEarlierIncarnation || hasEnded(holder);
         }
         if (grantorAbsentSince == Long.MAX_VALUE) {
             return false;
@@ -299,13 +323,15 @@
                 .asInt();
     }
 
+    /**
+     * Updates the term in which this host acts as the grantor. The term lasts until a time after its own lease was last
+     * confirmed; a later lease says nothing of it, because the copy of the store may be outdated when it is obtained.
+     */
     private void updateGrantorRole(long now, List<MembershipEffect> effects) {
-        boolean elected = grantor.filter(self::sameIncarnation).isPresent();
-        boolean leads = elected && now < confirmedAt + renewalGraceMillis;
-        if (leads == leading) {
-            return;
+        Optional<GrantorTerm> term = now < ownTermConfirmedAt + renewalGraceMillis ? ownTerm : Optional.empty();
+        if (!term.equals(activeTerm)) {
+            activeTerm = term;
+            effects.add(new MembershipEffect.GrantorRoleChanged(term, predecessorEnded));
         }
-        leading = leads;
-        effects.add(new MembershipEffect.GrantorRoleChanged(leads, predecessorEnded));
     }
 }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
@@ -23,6 +23,10 @@
         return new FleetMember(HostId.of(host), incarnation, FailureDomain.of("z"), "127.0.0.1:7100");
     }
 
+    private static Optional<GrantorTerm> term(FleetMember holder, long lease, long revision) {
+        return Optional.of(new GrantorTerm(holder, lease, revision));
+    }
+
     private List<MembershipEffect> runFor(long millis) {
         List<MembershipEffect> effects = new ArrayList<>();
         for (long end = now + millis; now < end; now += 50) {
@@ -102,7 +106,7 @@
 
         private void obtainedLongLease() {
             register();
-            machine.grantorChanged(Optional.of(member("a", 1)), 3, now);
+            machine.grantorChanged(term(member("a", 1), 70, 3), now);
             machine.synced(now);
             assertThat(runFor(1_100)).contains(obtainLong);
             machine.leaseObtained(8, now);
@@ -129,7 +133,7 @@
         void are_not_used_by_a_host_with_a_role() {
             machine.roleChanged(true);
             register();
-            machine.grantorChanged(Optional.of(member("a", 1)), 3, now);
+            machine.grantorChanged(term(member("a", 1), 70, 3), now);
             machine.synced(now);
 
             assertThat(runFor(10_000)).doesNotContain(obtainLong);
@@ -138,7 +142,7 @@
         @Test
         void are_replaced_by_a_short_one_before_a_role_is_claimed() {
             obtainedLongLease();
-            machine.grantorChanged(Optional.empty(), 0, now);
+            machine.grantorChanged(Optional.empty(), now);
             List<MembershipEffect> effects = runFor(1_000);
             assertThat(effects).contains(obtainShort);
             assertThat(containsClaim(effects)).isFalse();
@@ -147,7 +151,7 @@
             assertThat(machine.tick(now)).contains(new MembershipEffect.Register(9, self));
             machine.writeEnded(true, now);
 
-            assertThat(machine.tick(now)).contains(new MembershipEffect.ClaimGrantorRole(9, self, 0));
+            assertThat(machine.tick(now)).contains(new MembershipEffect.ClaimGrantorRole(9, self, 0, 0));
         }
 
         @Test
@@ -172,7 +176,7 @@
 
         @Test
         void waits_while_there_is_a_grantor() {
-            machine.grantorChanged(Optional.of(member("a", 1)), 3, now);
+            machine.grantorChanged(term(member("a", 1), 70, 3), now);
             machine.synced(now);
 
             assertThat(containsClaim(runFor(3_000))).isFalse();
@@ -187,15 +191,15 @@
 
         @Test
         void replaces_an_earlier_incarnation_of_this_host_immediately() {
-            machine.grantorChanged(Optional.of(member("b", 0)), 3, now);
+            machine.grantorChanged(term(member("b", 0), 70, 3), now);
             machine.synced(now);
 
-            assertThat(machine.tick(now)).contains(new MembershipEffect.ClaimGrantorRole(7, self, 3));
+            assertThat(machine.tick(now)).contains(new MembershipEffect.ClaimGrantorRole(7, self, 3, 0));
         }
 
         @Test
         void replaces_a_grantor_whose_host_is_registered_with_a_later_incarnation() {
-            machine.grantorChanged(Optional.of(member("a", 1)), 3, now);
+            machine.grantorChanged(term(member("a", 1), 70, 3), now);
             machine.memberRegistered(member("a", 2));
             machine.synced(now);
 
@@ -216,11 +220,11 @@
 
         private MembershipEffect.GrantorRoleChanged elected(Optional<FleetMember> last) {
             register();
-            machine.lastGrantorChanged(last);
+            machine.lastGrantorChanged(last, last.isPresent() ? 2 : 0);
             machine.synced(now);
             runFor(1_000);
             machine.leaseRenewed(now);
-            machine.grantorChanged(Optional.of(self), 4, now);
+            machine.grantorChanged(term(self, 7, 4), now);
             return machine.tick(now).stream()
                     .filter(MembershipEffect.GrantorRoleChanged.class::isInstance)
                     .map(MembershipEffect.GrantorRoleChanged.class::cast)
@@ -230,13 +234,14 @@
 
         @Test
         void has_no_predecessor_if_there_was_no_grantor() {
-            assertThat(elected(Optional.empty())).isEqualTo(new MembershipEffect.GrantorRoleChanged(true, true));
+            assertThat(elected(Optional.empty()))
+                    .isEqualTo(new MembershipEffect.GrantorRoleChanged(term(self, 7, 4), true));
         }
 
         @Test
         void has_a_predecessor_that_may_still_run() {
             assertThat(elected(Optional.of(member("a", 1))))
-                    .isEqualTo(new MembershipEffect.GrantorRoleChanged(true, false));
+                    .isEqualTo(new MembershipEffect.GrantorRoleChanged(term(self, 7, 4), false));
         }
 
         @Test
@@ -244,15 +249,71 @@
             elected(Optional.empty());
             now += RENEWAL_GRACE_MILLIS;
 
-            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(false, true));
+            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(Optional.empty(), true));
         }
 
         @Test
         void ends_when_another_host_becomes_the_grantor() {
             elected(Optional.empty());
-            machine.grantorChanged(Optional.of(member("a", 1)), 9, now);
+            machine.grantorChanged(term(member("a", 1), 70, 9), now);
+
+            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(Optional.empty(), true));
+        }
+
+        /** Guards against a host that renews grants by an outdated table after it obtained another lease. */
+        @Test
+        void is_not_continued_by_another_lease() {
+            elected(Optional.empty());
+            machine.leaseEnded();
+            now += RENEWAL_GRACE_MILLIS;
+            machine.tick(now);
+            machine.leaseObtained(8, now);
+
+            assertThat(runFor(1_000)).noneMatch(MembershipEffect.GrantorRoleChanged.class::isInstance);
+            assertThat(machine.termConfirmed(now)).isFalse();
+        }
+
+        @Test
+        void lasts_for_the_renewal_grace_period_beside_another_lease_that_changes_no_table() {
+            elected(Optional.empty());
+            machine.leaseEnded();
+            machine.leaseObtained(8, now);
+
+            assertThat(runFor(1_000)).noneMatch(MembershipEffect.GrantorRoleChanged.class::isInstance);
+            assertThat(machine.leaseConfirmed(now)).isTrue();
+            assertThat(machine.termConfirmed(now)).isFalse();
+        }
+
+        /** Guards against knowledge of an earlier term: another host may have granted keys in between. */
+        @Test
+        void begins_anew_with_each_term() {
+            elected(Optional.empty());
+            machine.leaseEnded();
+            machine.leaseObtained(8, now);
+            machine.grantorChanged(term(self, 8, 9), now);
 
-            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(false, true));
+            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(term(self, 8, 9), true));
+            assertThat(machine.termConfirmed(now)).isTrue();
         }
+
+        /** Guards against a claim that overlooks a grantor in between, whose lease has ended but which may still renew. */
+        @Test
+        void is_claimed_only_if_the_last_grantor_is_still_the_known_one() {
+            register();
+            machine.lastGrantorChanged(Optional.of(self), 6);
+            machine.synced(now);
+
+            assertThat(machine.tick(now)).contains(new MembershipEffect.ClaimGrantorRole(7, self, 0, 6));
+        }
+    }
+
+    /** Guards against a lease that counts as valid for longer, since the earlier one was confirmed later. */
+    @Test
+    void a_new_lease_is_valid_from_the_sending_of_its_own_call() {
+        machine.leaseObtained(7, now);
+        machine.leaseObtained(8, now - 1_000);
+
+        assertThat(machine.leaseConfirmed(now + MembershipStateMachine.LEASE_MILLIS - 1_000))
+                .isFalse();
     }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -16,6 +16,7 @@
 import org.dragonflymux.core.desired.DesiredState;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.membership.MembershipEffect;
 import org.dragonflymux.core.membership.MembershipStateMachine;
 import org.dragonflymux.core.name.HostId;
@@ -49,6 +50,7 @@
     private final Map<ServiceName, GrantStateMachine> grantStateMachines = new HashMap<>();
     private final RevisionCache<Optional<FleetMember>> members =
             RevisionCache.of(item -> FleetRecords.member(item.value()));
+    private final RevisionCache<Optional<GrantorTerm>> grantorRecord = RevisionCache.of(FleetRecords::grantorTerm);
     private final RevisionCache<Optional<LenderPartition>> lenderPartitionRecords =
             RevisionCache.of(FleetRecords::lenderPartition);
     private final Map<ServiceName, Long> tableRevisions = new HashMap<>();
@@ -124,8 +126,8 @@
     public void recordsChanged(Map<String, StoredItem> items) {
         long now = clock.getAsLong();
         Set<HostId> registered = new HashSet<>();
-        Optional<StoredItem> grantor = Optional.empty();
-        Optional<FleetMember> lastGrantor = Optional.empty();
+        Optional<GrantorTerm> grantor = Optional.empty();
+        Optional<StoredItem> lastGrantor = Optional.empty();
         List<LenderPartition> lenderPartitions = new ArrayList<>();
         for (StoredItem item : items.values()) {
             if (item.key().startsWith(FleetRecords.HOST_PREFIX)) {
@@ -134,9 +136,9 @@
                     membership.memberRegistered(member);
                 });
             } else if (item.key().equals(FleetRecords.GRANTOR_KEY)) {
-                grantor = Optional.of(item);
+                grantor = grantorRecord.read(item);
             } else if (item.key().equals(FleetRecords.LAST_GRANTOR_KEY)) {
-                lastGrantor = members.read(item);
+                lastGrantor = Optional.of(item);
             } else if (item.key().startsWith(FleetRecords.LENDER_PARTITION_PREFIX)) {
                 lenderPartitionRecords.read(item).ifPresent(lenderPartitions::add);
             } else if (item.key().startsWith(FleetRecords.TABLE_PREFIX)) {
@@ -144,17 +146,17 @@
             }
         }
         members.retain(items.keySet());
+        grantorRecord.retain(items.keySet());
         lenderPartitionRecords.retain(items.keySet());
         for (HostId host : List.copyOf(membership.members().keySet())) {
             if (!registered.contains(host)) {
                 membership.memberRemoved(host);
             }
         }
-        membership.lastGrantorChanged(lastGrantor);
-        membership.grantorChanged(
-                grantor.flatMap(members::read),
-                grantor.map(StoredItem::revision).orElse(0L),
-                now);
+        membership.lastGrantorChanged(
+                lastGrantor.flatMap(members::read),
+                lastGrantor.map(StoredItem::revision).orElse(0L));
+        membership.grantorChanged(grantor, now);
         membership.synced(now);
         lenderElection.replacePartitions(lenderPartitions);
         if (!membership.members().equals(reportedHosts)) {
@@ -220,7 +222,7 @@
             claimLenderPartitions(now);
         }
         for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
-            run(grantStateMachine, grantStateMachine.tick(confirmed, now));
+            run(grantStateMachine, grantStateMachine.tick(membership.termConfirmed(now), now));
         }
     }
 
@@ -244,9 +246,12 @@
                                 FleetRecords.encode(register.record()),
                                 register.lease())));
             case MembershipEffect.ClaimGrantorRole claim -> {
-                byte[] record = FleetRecords.encode(claim.record());
+                byte[] record = FleetRecords.encodeHolder(claim.record(), claim.lease());
                 write(
-                        List.of(new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, claim.expectedRevision())),
+                        List.of(
+                                new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, claim.expectedRevision()),
+                                new StoreClient.ExpectedRevision(
+                                        FleetRecords.LAST_GRANTOR_KEY, claim.expectedLastGrantorRevision())),
                         List.of(
                                 new StoreClient.Put(FleetRecords.GRANTOR_KEY, record, claim.lease()),
                                 new StoreClient.Put(FleetRecords.LAST_GRANTOR_KEY, record, 0)));
@@ -280,7 +285,7 @@
             lenderElection.claimEnded(now);
             return;
         }
-        byte[] record = FleetRecords.encodeLenderPartition(membership.self(), membership.lease());
+        byte[] record = FleetRecords.encodeHolder(membership.self(), membership.lease());
         List<StoreClient.ExpectedRevision> expected = new ArrayList<>();
         List<StoreClient.Put> puts = new ArrayList<>();
         for (LenderElection.Claim claim : claims) {
@@ -304,14 +309,17 @@
     }
 
     private void grantorRoleChanged(MembershipEffect.GrantorRoleChanged changed, long now) {
-        LOG.info("event=grants_changed leading={} predecessorEnded={}", changed.leading(), changed.predecessorEnded());
+        LOG.info(
+                "event=grants_changed leading={} term={} predecessorEnded={}",
+                changed.leading(),
+                changed.term().map(GrantorTerm::revision).orElse(0L),
+                changed.predecessorEnded());
         leading = changed.leading();
         predecessorEnded = changed.predecessorEnded();
         for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
+            grantStateMachine.stopLeading();
             if (leading) {
                 grantStateMachine.startLeading(predecessorEnded, now);
-            } else {
-                grantStateMachine.stopLeading();
             }
         }
     }
@@ -359,15 +367,16 @@
                 .filter(assignment -> assignment.move().isPresent())
                 .forEach(assignment -> LOG.info("event=move_planned assignment={}", assignment));
         String key = FleetRecords.tableKey(persist.service());
-        List<StoreClient.ExpectedRevision> expected = new ArrayList<>();
-        expected.add(new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, membership.grantorRevision()));
-        expected.add(new StoreClient.ExpectedRevision(key, persist.expectedRevision()));
+        long term = membership.activeTerm().map(GrantorTerm::revision).orElseThrow();
+        List<StoreClient.ExpectedRevision> expected = List.of(
+                new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, term),
+                new StoreClient.ExpectedRevision(key, persist.expectedRevision()));
         store.commit(expected, List.of(new StoreClient.Put(key, TableCodec.encode(persist.table()), 0)), result -> {
             if (result.isRight()) {
                 applyTable(persist.service(), persist.table(), result.get());
                 run(
                         grantStateMachine,
-                        grantStateMachine.tick(membership.leaseConfirmed(clock.getAsLong()), clock.getAsLong()));
+                        grantStateMachine.tick(membership.termConfirmed(clock.getAsLong()), clock.getAsLong()));
             } else if (result.getLeft() != StoreError.UNKNOWN) {
                 grantStateMachine.writeFailed();
             }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.InvalidNameException;
@@ -73,8 +74,8 @@
                 .put("peer", member.peerAddress());
     }
 
-    /** Encodes the holder of a lender partition and the lease that the record is bound to. */
-    public static byte[] encodeLenderPartition(FleetMember holder, long lease) {
+    /** Encodes the holder of a role and the lease that the record is bound to. */
+    public static byte[] encodeHolder(FleetMember holder, long lease) {
         return serialize(toJson(holder).put("lease", lease));
     }
 
@@ -82,13 +83,27 @@
     public static Optional<LenderPartition> lenderPartition(StoredItem item) {
         try {
             int number = Integer.parseInt(item.key().substring(LENDER_PARTITION_PREFIX.length()));
-            long lease = JSON.readTree(item.value()).path("lease").asLong();
+            long lease = lease(item.value());
             return member(item.value()).map(holder -> new LenderPartition(number, holder, lease, item.revision()));
         } catch (IOException | NumberFormatException unreadable) {
             return Optional.empty();
         }
     }
 
+    /** Decodes the grantor's record; empty if the item is not a valid one. */
+    public static Optional<GrantorTerm> grantorTerm(StoredItem item) {
+        try {
+            long lease = lease(item.value());
+            return member(item.value()).map(holder -> new GrantorTerm(holder, lease, item.revision()));
+        } catch (IOException unreadable) {
+            return Optional.empty();
+        }
+    }
+
+    private static long lease(byte[] record) throws IOException {
+        return JSON.readTree(record).path("lease").asLong();
+    }
+
     /** Decodes the record of a host; empty if the bytes are not a valid one. */
     public static Optional<FleetMember> member(byte[] bytes) {
         try {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
@@ -23,6 +24,14 @@
         assertThat(FleetRecords.member(FleetRecords.encode(MEMBER))).contains(MEMBER);
     }
 
+    @Test
+    void a_grantor_is_decoded_with_the_lease_and_revision_of_its_term() {
+        StoredItem item = new StoredItem(FleetRecords.GRANTOR_KEY, FleetRecords.encodeHolder(MEMBER, 3), 12);
+
+        assertThat(FleetRecords.grantorTerm(item)).contains(new GrantorTerm(MEMBER, 3, 12));
+        assertThat(FleetRecords.member(item.value())).contains(MEMBER);
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -36,17 +45,19 @@
                 "{\"host\":\"front-1\",\"incarnation\":7,\"domain\":\"east\",\"peer\":\"front-1:80\"}",
                 "{\"host\":\"\",\"incarnation\":7,\"domain\":\"east\",\"peer\":\"127.0.0.1:80\"}",
             })
-    void an_odd_record_is_no_member_and_no_lender(String value) {
+    void an_odd_record_is_no_member_no_grantor_and_no_lender(String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
 
         assertThat(FleetRecords.member(bytes)).isEmpty();
+        assertThat(FleetRecords.grantorTerm(new StoredItem(FleetRecords.GRANTOR_KEY, bytes, 1)))
+                .isEmpty();
         assertThat(FleetRecords.lenderPartition(new StoredItem(FleetRecords.LENDER_PARTITION_PREFIX + "1", bytes, 1)))
                 .isEmpty();
     }
 
     @Test
     void a_record_under_an_odd_key_is_ignored() {
-        byte[] record = FleetRecords.encodeLenderPartition(MEMBER, 3);
+        byte[] record = FleetRecords.encodeHolder(MEMBER, 3);
 
         assertThat(FleetRecords.lenderPartition(
                         new StoredItem(FleetRecords.LENDER_PARTITION_PREFIX + "one", record, 1)))
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -51,4 +51,18 @@
             assertSingleOwners(deployment);
         }
     }
+
+    @Nested
+    class ReturningGrantors {
+
+        /** A host that the store answered again renewed an outdated table with a new lease, under the name of its old role. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void do_not_grant_by_an_earlier_role(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.repeat(3_000, 9_000, () -> deployment.isolateGrantor(5_000, 22_000));
+
+            assertSingleOwners(deployment);
+        }
+    }
 }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
@@ -63,6 +63,17 @@
         }
     }
 
+    /** Makes the store leave the calls of the grantor unanswered for a while, unless it already does so for a host. */
+    void isolateGrantor(int minMillis, int maxMillis) {
+        hosts.stream()
+                .filter(host -> host.leading() && hosts.stream().allMatch(other -> store.answers(other.name())))
+                .findFirst()
+                .ifPresent(host -> {
+                    store.answers(host.name(), false);
+                    time.after(random.nextInt(minMillis, maxMillis), () -> store.answers(host.name(), true));
+                });
+    }
+
     void runUntil(long end) {
         time.runUntil(end);
     }
