An answer without a length is whole only after the target ended its side

Cause: while the request is being written, a reset shows as a failed write. The transport then closes the channel without an exception for the handlers, the decoder ends the answer as at a regular end, and no failure was taken for a whole answer.

Fix: completeness is shown in one place. The end of the peer's side is an event of its own (half closure); what is decoded after the connection was lost or closed in any other way isn't passed on, whatever closed it.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
@@ -36,7 +37,6 @@
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private int skippedResponses;
     private boolean outOfStep;
-    private boolean reset;
     private boolean closing;
 
     Connection(ConnectionPool pool, Endpoint endpoint, ResponseDecoder decoder) {
@@ -83,15 +83,15 @@
             return;
         }
         Call answeredCall = call;
+        if (decoder.maybeTruncated()) {
+            answeredCall.fail(CallFailure.BROKEN);
+            return;
+        }
         if (response.decoderResult().isFailure()) {
             answeredCall.fail(CallFailure.MALFORMED);
             close();
             return;
         }
-        if (reset) {
-            answeredCall.fail(CallFailure.BROKEN);
-            return;
-        }
         if (response.status().code() < MIN_FINAL_STATUS) {
             countSkipped();
             return;
@@ -173,10 +173,21 @@
         return DEFAULT_IDLE_TIMEOUT_MILLIS;
     }
 
+    /** Handles the end of the peer's side. The peer sends nothing more, so the connection is of no further use. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            completeCall();
+            if (call != null) {
+                call.fail(CallFailure.BROKEN);
+            }
+            close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         completeCall();
-        reset |= cause instanceof IOException;
         if (call != null) {
             call.fail(cause instanceof IOException ? CallFailure.BROKEN : CallFailure.MALFORMED);
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -110,35 +111,54 @@
     }
 
     private void connect(Endpoint endpoint, Call call) {
-        ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
-        Connection connection = new Connection(this, endpoint, decoder);
+        ConnectionInitializer initializer = new ConnectionInitializer(endpoint);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Shows the end of the peer's side as an event of its own, unlike the loss of the connection.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline()
-                                .addLast(decoder, new HttpRequestEncoder())
-                                .addLast(new HttpObjectAggregator(maxResponseBytes))
-                                .addLast(connection);
-                    }
-                })
+                .handler(initializer)
                 .connect(endpoint.address());
         Channel channel = connecting.channel();
         call.attach(channel);
         connecting.addListener(done -> {
             if (done.isSuccess()) {
                 // If the call ends in the meantime, it closes the channel.
-                pollTracker.whenFresh(loop, call::obsolete, () -> send(connection, channel, call));
+                pollTracker.whenFresh(loop, call::obsolete, () -> send(initializer.connection, channel, call));
             } else {
                 call.fail(CallFailure.NOT_SENT);
             }
         });
     }
 
+    /** Adds the handlers of a connection to its pipeline. */
+    Connection addHandlers(ChannelPipeline pipeline, Endpoint endpoint) {
+        ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
+        Connection connection = new Connection(this, endpoint, decoder);
+        pipeline.addLast(decoder, new HttpRequestEncoder())
+                .addLast(new HttpObjectAggregator(maxResponseBytes))
+                .addLast(connection);
+        return connection;
+    }
+
+    /** Sets up the connection of a channel. */
+    private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
+
+        private final Endpoint endpoint;
+        private Connection connection;
+
+        private ConnectionInitializer(Endpoint endpoint) {
+            this.endpoint = endpoint;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            connection = addHandlers(channel.pipeline(), endpoint);
+        }
+    }
+
     private static void send(Connection connection, Channel channel, Call call) {
         if (channel.isActive()) {
             connection.send(call);
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/BrokenResponseTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/BrokenResponseTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -50,4 +51,42 @@
         assertThat(outcome(response, ScriptedTarget.End.CLOSE)).isEqualTo("whole");
         assertThat(outcome(response, ScriptedTarget.End.RESET)).isEqualTo(CallFailure.BROKEN.name());
     }
+
+    /** A request that is still being written when its connection breaks. */
+    @Nested
+    class DuringTheRequest {
+
+        private static final int BODY_BYTES = 8 << 20;
+
+        private static String outcome(String bytes, ScriptedTarget.End end) throws Exception {
+            try (ScriptedTarget target = ScriptedTarget.start(List.of(bytes), end)) {
+                return target.callWithBody("a", BODY_BYTES);
+            }
+        }
+
+        /** Half of a response without a length passed for the whole one, since only the write showed the reset. */
+        @ParameterizedTest
+        @EnumSource(names = {"RESET", "RESET_LATER"})
+        void a_response_without_a_length_is_not_complete_after_a_reset(ScriptedTarget.End end) throws Exception {
+            assertThat(outcome(UNTIL_CLOSE, end)).isEqualTo(CallFailure.BROKEN.name());
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {WITH_LENGTH, IN_CHUNKS, UNTIL_CLOSE})
+        void a_whole_response_is_passed_on(String response) throws Exception {
+            assertThat(outcome(response, ScriptedTarget.End.CLOSE)).isEqualTo("whole");
+        }
+    }
+
+    /** Guards against an empty or short success in place of a response whose target stopped in its head. */
+    @ParameterizedTest
+    @EnumSource(names = {"CLOSE", "RESET", "RESET_LATER"})
+    void a_response_that_ends_in_its_head_fails(ScriptedTarget.End end) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: 1\r\nContent-Length: 0\r\n";
+        for (int length = 0; length <= head.length(); length++) {
+            assertThat(outcome(head.substring(0, length), end))
+                    .as("cut after %d bytes", length)
+                    .isIn(CallFailure.BROKEN.name(), CallFailure.MALFORMED.name());
+        }
+    }
 }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ScriptedTarget.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ScriptedTarget.java
@@ -1,15 +1,19 @@
 package org.dragonflymux.gateway.http;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -24,6 +28,10 @@
 final class ScriptedTarget implements AutoCloseable {
 
     private static final int MAX_RESPONSE_BYTES = 1_024;
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+    /** Time for the caller to read what was written before the connection ends. */
+    private static final long READ_MILLIS = 50;
+
     private static final long TIMEOUT_SECONDS = 10;
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
@@ -36,10 +44,12 @@
     enum End {
         /** It waits for further requests and never answers them. */
         KEEP,
-        /** It closes the connection in order. */
+        /** It closes its side of the connection in order, and reads on until the caller closes the other. */
         CLOSE,
         /** It resets the connection. */
-        RESET
+        RESET,
+        /** It resets the connection after a moment, in which the caller reads what was written. */
+        RESET_LATER
     }
 
     private ScriptedTarget(ServerSocket socket) {
@@ -52,7 +62,10 @@
      * @param scripts what is written on each connection in answer to its first request, its second one and so on
      */
     static ScriptedTarget start(List<String> scripts, End end) throws IOException {
-        ScriptedTarget target = new ScriptedTarget(new ServerSocket(0, 64, InetAddress.getLoopbackAddress()));
+        ServerSocket socket = new ServerSocket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
+        ScriptedTarget target = new ScriptedTarget(socket);
         Thread.ofVirtual().start(() -> target.accept(scripts, end));
         return target;
     }
@@ -88,11 +101,20 @@
             }
             switch (end) {
                 case KEEP -> in.read();
-                case CLOSE -> connection.shutdownOutput();
+                case CLOSE -> {
+                    connection.shutdownOutput();
+                    in.transferTo(Writer.nullWriter());
+                }
                 case RESET -> connection.setSoLinger(true, 0);
+                case RESET_LATER -> {
+                    Thread.sleep(READ_MILLIS);
+                    connection.setSoLinger(true, 0);
+                }
             }
         } catch (IOException closed) {
             // The caller closed the connection, which ends the script.
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -106,6 +128,18 @@
 
     /** Returns the body of the response to the request with the given id, or the name of the failure. */
     String call(String id) throws Exception {
+        return call(id, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+    }
+
+    /** Returns the outcome of a request with a long body, of which the target reads no more than its receive buffer holds. */
+    String callWithBody(String id, int bodyBytes) throws Exception {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.wrappedBuffer(new byte[bodyBytes]));
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+        return call(id, request);
+    }
+
+    private String call(String id, FullHttpRequest request) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
         CallListener listener = new CallListener() {
             @Override
@@ -125,8 +159,7 @@
         };
         ConnectionPool.Endpoint endpoint = new ConnectionPool.Endpoint(
                 "target", new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort()));
-        loop.execute(() -> pool.call(
-                endpoint, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), 0, 1.0, listener));
+        loop.execute(() -> pool.call(endpoint, request, 0, 1.0, listener));
         return outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
