Planning without targets, and for a restarted target without others

Cause: with no known target of a service, as on a grantor whose directory is empty for a moment or after all entries have expired, the planner divided by the number of targets. The failure discarded the renewals that had been prepared with the plan but counted as sent, so that after three of them a target got no more. And keys of a target that restarted under its id never went back to it, so with no other target of the service they had no owner.

Fix: no targets, no moves and no merges; a restarted owner gets its keys again if there is no other usable target.

Evidence: without_any_target_nothing_moves and gets_its_keys_again_if_there_is_no_other_target failed before.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -82,6 +82,9 @@
 
     /** Returns the moves to start now. */
     public static List<PlannedMove> plan(ShardTable table, List<PlanTarget> targets, KeyLoad.Snapshot load) {
+        if (targets.isEmpty()) {
+            return List.of();
+        }
         return new PlanningRun(table, targets, load).plan();
     }
 
@@ -90,6 +93,9 @@
      * assignments. Each assignment needs a renewal call of its own, so many of them are expensive.
      */
     public static ShardTable mergeAdjacentRanges(ShardTable table, int targets) {
+        if (targets == 0) {
+            return table;
+        }
         ShardTable merged = table;
         for (int i = 0;
                 i < MAX_MERGES_PER_PLAN && merged.assignments().size() > targets * MERGE_ABOVE_PER_TARGET;
@@ -215,7 +221,16 @@
         private Optional<TargetId> destinationOf(KeyRange piece, Assignment from) {
             Optional<TargetId> adjacentOwner =
                     piece.size() < smallSize() ? adjacentOwnerWithSpareCapacity(piece, from) : Optional.empty();
-            return adjacentOwner.or(() -> leastUtilized(from.owner()).map(PlanTarget::id));
+            return adjacentOwner
+                    .or(() -> leastUtilized(from.owner()).map(PlanTarget::id))
+                    .or(() -> restartedOwner(from));
+        }
+
+        private Optional<TargetId> restartedOwner(Assignment from) {
+            return Optional.ofNullable(targets.get(from.owner()))
+                    .filter(PlanTarget::usable)
+                    .filter(owner -> owner.incarnation() != from.incarnation())
+                    .map(PlanTarget::id);
         }
 
         private int smallSize() {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/ShardPlannerTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/ShardPlannerTest.java
@@ -47,6 +47,40 @@
         assertThat(table.assignmentOf(65_535).orElseThrow().owner()).isEqualTo(TargetId.of("b"));
     }
 
+    /** A plan without targets failed, and the renewals that were due with it were not sent. */
+    @Test
+    void without_any_target_nothing_moves() {
+        ShardTable table = ShardPlanner.initial(targets(4))
+                .with(new Assignment(new KeyRange(10, 20), TargetId.of("t1"), 1, 50, Optional.empty()));
+
+        assertThat(ShardPlanner.plan(table, List.of(), load(40, 0, 16_000))).isEmpty();
+        assertThat(ShardPlanner.mergeAdjacentRanges(table, 0)).isEqualTo(table);
+    }
+
+    @Nested
+    class RestartedOwner {
+
+        private final PlanTarget restarted = new PlanTarget(TargetId.of("t0"), 2, CAPACITY_PER_SECOND, true);
+
+        /** The keys of a target without others beside it had no owner after its restart, until another one registered. */
+        @Test
+        void gets_its_keys_again_if_there_is_no_other_target() {
+            ShardTable table = ShardPlanner.initial(targets(1));
+
+            assertThat(ShardPlanner.plan(table, List.of(restarted), noLoad()))
+                    .containsExactly(new PlannedMove(KeyRange.ALL, TargetId.of("t0")));
+        }
+
+        @Test
+        void does_not_get_them_again_if_there_is_another_target() {
+            ShardTable table = ShardPlanner.initial(targets(1));
+
+            assertThat(ShardPlanner.plan(table, List.of(restarted, target("t1", true)), noLoad()))
+                    .isNotEmpty()
+                    .allMatch(move -> move.to().equals(TargetId.of("t1")));
+        }
+    }
+
     @Nested
     class LostOwner {
 
