A host waits for others' holds by a clock that steps of the time of day don't touch

Cause: one clock served two duties that pull in opposite directions. It took forward steps of the time of day for suspensions, which is safe for "my lease may have ended" and ends "their hold must have run out" early, for good.

Fix: suspensions are known exactly by the time since boot, read through the C library. The duties have types of their own, LeaseClock and HoldClock; where there is no time since boot, the first still counts forward steps as suspensions and the second counts none, so waits get longer, not shorter. The same cause: a relay told subscribers with that clock how long it had their timestamps, by which these take updates for newer; it uses the clock of holds.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -33,6 +33,7 @@
 import org.dragonflymux.core.quota.LenderPartition;
 import org.dragonflymux.core.shard.ShardTable;
 import org.dragonflymux.gateway.caller.CallerServer;
+import org.dragonflymux.gateway.clock.HostClock;
 import org.dragonflymux.gateway.control.ControlLoop;
 import org.dragonflymux.gateway.control.FleetRecords;
 import org.dragonflymux.gateway.control.GrantClient;
@@ -71,7 +72,7 @@
     private static final int WARM_UP_TARGET_PORT_OFFSET = 3;
     private static final RequestLimits LIMITS_WITHOUT_DESIRED_STATE = new RequestLimits(16_384, 1 << 20, 5_000, 15_000);
 
-    private final SuspendAwareClock clock = SuspendAwareClock.system();
+    private final HostClock clock = HostClock.system();
     private final GatewayOptions options;
     private final EventLoop loop;
     private final RecordDecoder decoder;
@@ -117,7 +118,8 @@
                 MembershipStateMachine.of(options.self(), options.grants().renewalGraceMillis()),
                 options.grants(),
                 gateway.directory(),
-                clock,
+                clock.leaseClock(),
+                clock.holdClock(),
                 new ControlListener());
     }
 
@@ -148,7 +150,7 @@
 
     /** Returns the time used for leases and updates from the store, which includes suspensions of the machine. */
     private long now() {
-        return clock.getAsLong();
+        return clock.leaseClock().nowMillis();
     }
 
     /** Returns the time used for requests, which excludes suspensions of the machine. */
@@ -168,7 +170,8 @@
                 store,
                 decoder.prefix(),
                 WATCH_WAIT_MILLIS,
-                clock,
+                clock.leaseClock(),
+                clock.holdClock(),
                 relayAddress(options.peers()),
                 new MirrorListener());
         AdaptiveTimer requestTimer = AdaptiveTimer.start(
@@ -191,9 +194,10 @@
         callers.listen(options.callers());
         listening = true;
         LOG.info(
-                "event=started host={} incarnation={}",
+                "event=started host={} incarnation={} bootTime={}",
                 options.self().host(),
-                options.self().incarnation());
+                options.self().incarnation(),
+                clock.exact());
     }
 
     private void warmUp() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -29,6 +29,7 @@
 import org.dragonflymux.core.quota.RateMessage;
 import org.dragonflymux.gateway.caller.CallerHandler;
 import org.dragonflymux.gateway.caller.CallerReply;
+import org.dragonflymux.gateway.clock.HostClock;
 import org.dragonflymux.gateway.http.Call;
 import org.dragonflymux.gateway.http.CallFailure;
 import org.dragonflymux.gateway.http.CallListener;
@@ -46,7 +47,7 @@
     private final ConnectionPool pool;
     private final TargetMessages messages;
     private final HeaderNames names;
-    private final SuspendAwareClock clock;
+    private final HostClock clock;
     private final RateLimitedLog log = new RateLimitedLog(LogManager.getLogger(RequestPath.class));
     private final Map<Long, OpenRequest> openRequests = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
@@ -62,7 +63,7 @@
 
     private record OpenRequest(FullHttpRequest request, CallerReply reply, String requestId, long receivedAt) {}
 
-    RequestPath(Gateway gateway, ConnectionPool pool, HeaderNames names, SuspendAwareClock clock) {
+    RequestPath(Gateway gateway, ConnectionPool pool, HeaderNames names, HostClock clock) {
         this.gateway = gateway;
         this.pool = pool;
         this.messages = TargetMessages.with(names);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
@@ -47,6 +47,7 @@
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.quota.LenderPartition;
 import org.dragonflymux.gateway.caller.CallerServer;
+import org.dragonflymux.gateway.clock.HostClock;
 import org.dragonflymux.gateway.http.CallFailure;
 import org.dragonflymux.gateway.http.CallListener;
 import org.dragonflymux.gateway.http.ConnectionPool;
@@ -77,7 +78,7 @@
     private final FleetMember self;
     private final InetSocketAddress gatewayAddress;
     private final InetSocketAddress targetAddress;
-    private final SuspendAwareClock clock;
+    private final HostClock clock;
     private final CountDownLatch ended = new CountDownLatch(REQUESTS);
     private final ChannelGroup targetConnections;
 
@@ -88,7 +89,7 @@
             FleetMember self,
             InetSocketAddress gatewayAddress,
             InetSocketAddress targetAddress,
-            SuspendAwareClock clock) {
+            HostClock clock) {
         this.loop = loop;
         this.pollTracker = pollTracker;
         this.names = names;
@@ -112,7 +113,7 @@
             FleetMember self,
             InetSocketAddress gatewayAddress,
             InetSocketAddress targetAddress,
-            SuspendAwareClock clock) {
+            HostClock clock) {
         new WarmUp(loop, pollTracker, names, self, gatewayAddress, targetAddress, clock).run();
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.balance.TargetDirectory;
@@ -28,6 +27,8 @@
 import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.core.shard.GrantStateMachine;
 import org.dragonflymux.core.shard.ShardTable;
+import org.dragonflymux.gateway.clock.HoldClock;
+import org.dragonflymux.gateway.clock.LeaseClock;
 import org.dragonflymux.gateway.store.RevisionCache;
 import org.dragonflymux.gateway.store.StoreClient;
 import org.dragonflymux.gateway.store.StoreError;
@@ -45,7 +46,8 @@
     private final LenderElection lenderElection;
     private final GrantSettings settings;
     private final TargetDirectory directory;
-    private final LongSupplier clock;
+    private final LeaseClock leaseClock;
+    private final HoldClock holdClock;
     private final Listener listener;
     private final Map<ServiceName, GrantStateMachine> grantStateMachines = new HashMap<>();
     private final RevisionCache<Optional<FleetMember>> members =
@@ -81,7 +83,8 @@
             MembershipStateMachine membership,
             GrantSettings settings,
             TargetDirectory directory,
-            LongSupplier clock,
+            LeaseClock leaseClock,
+            HoldClock holdClock,
             Listener listener) {
         this.store = store;
         this.grantClient = grantClient;
@@ -89,7 +92,8 @@
         this.lenderElection = LenderElection.of(membership.self());
         this.settings = settings;
         this.directory = directory;
-        this.clock = clock;
+        this.leaseClock = leaseClock;
+        this.holdClock = holdClock;
         this.listener = listener;
     }
 
@@ -99,9 +103,10 @@
             MembershipStateMachine membership,
             GrantSettings settings,
             TargetDirectory directory,
-            LongSupplier clock,
+            LeaseClock leaseClock,
+            HoldClock holdClock,
             Listener listener) {
-        return new ControlLoop(store, grantClient, membership, settings, directory, clock, listener);
+        return new ControlLoop(store, grantClient, membership, settings, directory, leaseClock, holdClock, listener);
     }
 
     /** Handles a new desired state. */
@@ -113,7 +118,7 @@
                     GrantStateMachine grantStateMachine = GrantStateMachine.of(spec, settings, directory);
                     grantStateMachines.put(spec.name(), grantStateMachine);
                     if (leading) {
-                        grantStateMachine.startLeading(predecessorEnded, clock.getAsLong());
+                        grantStateMachine.startLeading(predecessorEnded, holdClock.nowMillis());
                     }
                 } else {
                     existing.updateSpec(spec);
@@ -124,7 +129,7 @@
 
     /** Handles a change of the gateway's own records; the map holds all items of the store. */
     public void recordsChanged(Map<String, StoredItem> items) {
-        long now = clock.getAsLong();
+        long now = leaseClock.nowMillis();
         Set<HostId> registered = new HashSet<>();
         Optional<GrantorTerm> grantor = Optional.empty();
         Optional<StoredItem> lastGrantor = Optional.empty();
@@ -190,7 +195,7 @@
         if (!leading) {
             return;
         }
-        long now = clock.getAsLong();
+        long now = holdClock.nowMillis();
         keys.forEach((service, serviceKeys) -> {
             GrantStateMachine grantStateMachine = grantStateMachines.get(service);
             for (int i = 0; grantStateMachine != null && i < serviceKeys.length; i++) {
@@ -211,7 +216,7 @@
 
     /** Runs the state machines and carries out the effects that are due. */
     public void tick() {
-        long now = clock.getAsLong();
+        long now = leaseClock.nowMillis();
         membership.roleChanged(collectsReports || holdsLenderPartition());
         for (MembershipEffect effect : membership.tick(now)) {
             run(effect, now);
@@ -222,10 +227,15 @@
             claimLenderPartitions(now);
         }
         for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
-            run(grantStateMachine, grantStateMachine.tick(membership.termConfirmed(now), now));
+            tick(grantStateMachine);
         }
     }
 
+    private void tick(GrantStateMachine grantStateMachine) {
+        boolean termConfirmed = membership.termConfirmed(leaseClock.nowMillis());
+        run(grantStateMachine, grantStateMachine.tick(termConfirmed, holdClock.nowMillis()));
+    }
+
     private void run(MembershipEffect effect, long now) {
         switch (effect) {
             case MembershipEffect.ObtainLease obtain ->
@@ -233,7 +243,7 @@
                     if (result.isRight()) {
                         membership.leaseObtained(result.get(), now);
                     } else {
-                        membership.leaseCallFailed(clock.getAsLong());
+                        membership.leaseCallFailed(leaseClock.nowMillis());
                     }
                 });
             case MembershipEffect.RenewLease renewal ->
@@ -256,7 +266,7 @@
                                 new StoreClient.Put(FleetRecords.GRANTOR_KEY, record, claim.lease()),
                                 new StoreClient.Put(FleetRecords.LAST_GRANTOR_KEY, record, 0)));
             }
-            case MembershipEffect.GrantorRoleChanged changed -> grantorRoleChanged(changed, now);
+            case MembershipEffect.GrantorRoleChanged changed -> grantorRoleChanged(changed);
         }
     }
 
@@ -271,7 +281,7 @@
             LOG.info("event=lease_ended lease={}", lease);
             membership.leaseEnded();
         } else {
-            membership.leaseCallFailed(clock.getAsLong());
+            membership.leaseCallFailed(leaseClock.nowMillis());
         }
     }
 
@@ -295,7 +305,7 @@
         }
         store.commit(expected, puts, result -> {
             LOG.info("event=lender_seats_claimed seats={} result={}", claims.size(), result);
-            lenderElection.claimEnded(clock.getAsLong());
+            lenderElection.claimEnded(leaseClock.nowMillis());
         });
     }
 
@@ -304,11 +314,11 @@
             if (result.isLeft() && result.getLeft() == StoreError.LEASE_ENDED) {
                 membership.leaseEnded();
             }
-            membership.writeEnded(result.isRight(), clock.getAsLong());
+            membership.writeEnded(result.isRight(), leaseClock.nowMillis());
         });
     }
 
-    private void grantorRoleChanged(MembershipEffect.GrantorRoleChanged changed, long now) {
+    private void grantorRoleChanged(MembershipEffect.GrantorRoleChanged changed) {
         LOG.info(
                 "event=grants_changed leading={} term={} predecessorEnded={}",
                 changed.leading(),
@@ -319,7 +329,7 @@
         for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
             grantStateMachine.stopLeading();
             if (leading) {
-                grantStateMachine.startLeading(predecessorEnded, now);
+                grantStateMachine.startLeading(predecessorEnded, holdClock.nowMillis());
             }
         }
     }
@@ -359,7 +369,7 @@
     }
 
     private void callEnded(GrantStateMachine grantStateMachine, long call, GrantResult result) {
-        run(grantStateMachine, grantStateMachine.callEnded(call, result, clock.getAsLong()));
+        run(grantStateMachine, grantStateMachine.callEnded(call, result, holdClock.nowMillis()));
     }
 
     private void persist(GrantStateMachine grantStateMachine, GrantEffect.Persist persist) {
@@ -374,9 +384,7 @@
         store.commit(expected, List.of(new StoreClient.Put(key, TableCodec.encode(persist.table()), 0)), result -> {
             if (result.isRight()) {
                 applyTable(persist.service(), persist.table(), result.get());
-                run(
-                        grantStateMachine,
-                        grantStateMachine.tick(membership.termConfirmed(clock.getAsLong()), clock.getAsLong()));
+                tick(grantStateMachine);
             } else if (result.getLeft() != StoreError.UNKNOWN) {
                 grantStateMachine.writeFailed();
             }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
@@ -22,10 +22,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.dragonflymux.gateway.clock.HoldClock;
+import org.dragonflymux.gateway.clock.LeaseClock;
 
 /** Relays updates of the store to subscribed hosts, and subscribes to the updates of another host. */
 final class Relay {
@@ -37,7 +38,8 @@
     private static final ReceivedTimestamp NO_TIMESTAMP = new ReceivedTimestamp(0, 0);
 
     private final EventLoop loop;
-    private final LongSupplier clock;
+    private final LeaseClock leaseClock;
+    private final HoldClock holdClock;
     private final Map<Channel, ReceivedTimestamp> subscribers = new HashMap<>();
     private Optional<InetSocketAddress> source = Optional.empty();
     private Channel subscription;
@@ -48,11 +50,13 @@
     /**
      * Creates a relay.
      *
-     * @param clock returns the current time, in milliseconds
+     * @param leaseClock dates what this host receives
+     * @param holdClock measures the age of a subscriber's timestamp, by which the subscriber takes updates for newer
      */
-    Relay(EventLoop loop, LongSupplier clock) {
+    Relay(EventLoop loop, LeaseClock leaseClock, HoldClock holdClock) {
         this.loop = loop;
-        this.clock = clock;
+        this.leaseClock = leaseClock;
+        this.holdClock = holdClock;
     }
 
     /**
@@ -107,13 +111,13 @@
         return Optional.ofNullable(subscribers.get(subscriber))
                 .filter(received -> received != NO_TIMESTAMP)
                 .map(received ->
-                        new RelayFrame.EchoTimestamp(received.time(), clock.getAsLong() - received.receivedAt()));
+                        new RelayFrame.EchoTimestamp(received.time(), holdClock.nowMillis() - received.receivedAt()));
     }
 
     /** Sends the current time of this host to the host that it subscribes to. */
     void sendEchoTimestamp() {
         if (subscription != null && subscription.isActive()) {
-            subscription.writeAndFlush(Unpooled.copyLong(clock.getAsLong()));
+            subscription.writeAndFlush(Unpooled.copyLong(leaseClock.nowMillis()));
         }
     }
 
@@ -161,7 +165,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf timestamp) {
             if (timestamp.readableBytes() == Long.BYTES) {
-                subscribers.put(context.channel(), new ReceivedTimestamp(timestamp.readLong(), clock.getAsLong()));
+                subscribers.put(context.channel(), new ReceivedTimestamp(timestamp.readLong(), holdClock.nowMillis()));
             } else {
                 context.close();
             }
@@ -189,7 +193,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            context.writeAndFlush(Unpooled.copyLong(clock.getAsLong()));
+            context.writeAndFlush(Unpooled.copyLong(leaseClock.nowMillis()));
         }
 
         @Override
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -11,9 +11,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.dragonflymux.gateway.clock.HoldClock;
+import org.dragonflymux.gateway.clock.LeaseClock;
 
 /**
  * A host's copy of all values in the store. It is updated by watching the store, or by another host that does so and
@@ -32,7 +33,7 @@
     private final StoreClient store;
     private final String prefix;
     private final long watchMillis;
-    private final LongSupplier clock;
+    private final LeaseClock clock;
     private final Listener listener;
     private final Relay relay;
     private final Map<String, StoredItem> items = new TreeMap<>();
@@ -61,14 +62,20 @@
     }
 
     private StoreMirror(
-            EventLoop loop, StoreClient store, String prefix, long watchMillis, LongSupplier clock, Listener listener) {
+            EventLoop loop,
+            StoreClient store,
+            String prefix,
+            long watchMillis,
+            LeaseClock clock,
+            HoldClock holdClock,
+            Listener listener) {
         this.loop = loop;
         this.store = store;
         this.prefix = prefix;
         this.watchMillis = watchMillis;
         this.clock = clock;
         this.listener = listener;
-        this.relay = new Relay(loop, clock);
+        this.relay = new Relay(loop, clock, holdClock);
     }
 
     /**
@@ -76,7 +83,8 @@
      *
      * @param prefix the prefix of the keys to copy
      * @param watchMillis for how long a watch call waits for changes
-     * @param clock returns the current time, in milliseconds
+     * @param clock dates what is received
+     * @param holdClock measures what others take for the age of their own timestamps
      * @param relayAddress the address on which other hosts may subscribe to updates
      */
     public static StoreMirror start(
@@ -84,10 +92,11 @@
             StoreClient store,
             String prefix,
             long watchMillis,
-            LongSupplier clock,
+            LeaseClock clock,
+            HoldClock holdClock,
             InetSocketAddress relayAddress,
             Listener listener) {
-        StoreMirror mirror = new StoreMirror(loop, store, prefix, watchMillis, clock, listener);
+        StoreMirror mirror = new StoreMirror(loop, store, prefix, watchMillis, clock, holdClock, listener);
         mirror.relay.listen(relayAddress, mirror::snapshot);
         mirror.read();
         return mirror;
@@ -138,7 +147,7 @@
 
     private void read() {
         callOutstanding = true;
-        long sentAt = clock.getAsLong();
+        long sentAt = clock.nowMillis();
         store.range(prefix, result -> readEnded(result, sentAt));
     }
 
@@ -183,7 +192,7 @@
 
     private void watch(long timeoutMillis) {
         callOutstanding = true;
-        long sentAt = clock.getAsLong();
+        long sentAt = clock.nowMillis();
         store.watch(prefix, revision, timeoutMillis, result -> watchEnded(result, sentAt, timeoutMillis));
     }
 
@@ -202,7 +211,7 @@
         StoreClient.Changes changes = result.get();
         // A watch that ended without changes shows that there were none until its end.
         boolean unchanged = changes.changes().isEmpty();
-        completeAt = Math.max(completeAt, unchanged ? Math.min(sentAt + timeoutMillis, clock.getAsLong()) : sentAt);
+        completeAt = Math.max(completeAt, unchanged ? Math.min(sentAt + timeoutMillis, clock.nowMillis()) : sentAt);
         List<StoreChange> applied = apply(changes);
         confirm(completeAt);
         publish(applied);
@@ -251,7 +260,7 @@
 
     private void frameReceived(RelayFrame frame) {
         if (frame.sinceRecoveryMillis() < NEVER_MILLIS) {
-            recoveredAt = Math.max(recoveredAt, clock.getAsLong() - frame.sinceRecoveryMillis());
+            recoveredAt = Math.max(recoveredAt, clock.nowMillis() - frame.sinceRecoveryMillis());
             listener.storeRecovered(recoveredAt);
         }
         if (frame.snapshot() && frame.changes().revision() < revision) {
@@ -304,7 +313,7 @@
     }
 
     private RelayFrame frame(boolean snapshot, List<StoreChange> changes) {
-        long now = clock.getAsLong();
+        long now = clock.nowMillis();
         return new RelayFrame(
                 snapshot,
                 new StoreClient.Changes(changes, revision),
@@ -317,7 +326,7 @@
         retryDelayMillis = RETRY_DELAY_MILLIS;
         if (!reachable) {
             reachable = true;
-            recoveredAt = clock.getAsLong();
+            recoveredAt = clock.nowMillis();
             LOG.info("event=store_reachable");
             listener.storeRecovered(recoveredAt);
         }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -65,4 +65,19 @@
             assertSingleOwners(deployment);
         }
     }
+
+    @Nested
+    class SteppedClocks {
+
+        /** Each step of the grantor's time of day ended the wait for the hold of a target that was cut off 2 s early. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void do_not_shorten_the_wait_for_a_hold(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.repeat(3_000, 8_000, () -> deployment.cutOffTarget(2_000, 10_000));
+            deployment.repeat(700, 1_500, () -> deployment.stepTimeOfDay(2_000));
+
+            assertSingleOwners(deployment);
+        }
+    }
 }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
@@ -74,6 +74,37 @@
                 });
     }
 
+    /** Cuts a random target off from hosts and store for a while. */
+    void cutOffTarget(int minMillis, int maxMillis) {
+        SimulatedTarget target = targets.all().get(random.nextInt(targets.all().size()));
+        targets.cutOff(target, true);
+        time.after(random.nextInt(minMillis, maxMillis), () -> targets.cutOff(target, false));
+    }
+
+    /** Sets the time of day of the grantor ahead, and back after half a second. */
+    void stepTimeOfDay(long millis) {
+        hosts.stream().filter(SimulatedHost::leading).forEach(host -> host.stepTimeOfDay(millis, 500));
+    }
+
+    /** Kills the grantor, whose calls may still arrive, and starts the host again after a while. */
+    void restartGrantor(int minDownMillis, int maxDownMillis) {
+        hosts.stream().filter(SimulatedHost::leading).forEach(host -> {
+            host.kill();
+            time.after(random.nextInt(minDownMillis, maxDownMillis), host::start);
+        });
+    }
+
+    /** Shuts a random target down: it announces that it leaves, ends after a while, and a new one starts in its place. */
+    void replaceTarget(int drainMillis, int downMillis) {
+        SimulatedTarget target = targets.all().get(random.nextInt(targets.all().size()));
+        targets.announceShutdown(target);
+        time.after(drainMillis, () -> {
+            target.crash();
+            store.removeTarget(target.id());
+            time.after(downMillis, () -> targets.start(target));
+        });
+    }
+
     void runUntil(long end) {
         time.runUntil(end);
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.dragonflymux.core.balance.TargetDirectory;
 import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.desired.DesiredState;
@@ -20,6 +21,7 @@
 import org.dragonflymux.core.shard.GrantResult;
 import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.core.shard.ShardTable;
+import org.dragonflymux.gateway.clock.HostClock;
 import org.dragonflymux.gateway.control.ControlLoop;
 import org.dragonflymux.gateway.control.GrantClient;
 
@@ -39,8 +41,9 @@
     private final GrantSettings settings;
     private final ServiceSpec service;
     private final String name;
+    private final HostClock clock;
     private Process process;
-    private long clockOffset;
+    private long timeOfDayOffset;
     private long resyncAt;
     private boolean wasAnswered = true;
 
@@ -61,7 +64,8 @@
                     MembershipStateMachine.of(self, settings.renewalGraceMillis()),
                     settings,
                     directory,
-                    () -> time.now() + clockOffset,
+                    clock.leaseClock(),
+                    clock.holdClock(),
                     this);
             control.desiredStateChanged(new DesiredState(
                     1, Map.of(), Map.of(service.name(), service), Map.of(), false, new RequestLimits(1, 1, 1, 1)));
@@ -148,6 +152,8 @@
         this.store = store;
         this.targets = targets;
         this.random = random;
+        LongSupplier monotonicNanos = () -> time.now() * 1_000_000;
+        clock = HostClock.withTimeOfDay(monotonicNanos, () -> time.now() + timeOfDayOffset);
     }
 
     void start() {
@@ -158,6 +164,12 @@
         process.running = false;
     }
 
+    /** Sets the time of day ahead, and back after a while. */
+    void stepTimeOfDay(long millis, long forMillis) {
+        timeOfDayOffset += millis;
+        time.after(forMillis, () -> timeOfDayOffset -= millis);
+    }
+
     boolean running() {
         return process.running;
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
@@ -1,14 +1,20 @@
 package org.dragonflymux.gateway.control.simulation;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import java.util.stream.Collectors;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.shard.GrantEffect;
 import org.dragonflymux.core.shard.GrantResult;
+import org.dragonflymux.core.shard.KeyRange;
 
 /** All targets, the way of calls to them, and the check that no two of them hold the same key. */
 final class SimulatedTargets {
@@ -17,6 +23,8 @@
     private static final long SAMPLE_MILLIS = 25;
     private static final int MAX_LATE_MILLIS = 4_000;
     private static final int MAX_WORK_MILLIS = 150;
+    /** How far back the calls are shown that led to a violation. */
+    private static final long SHOWN_MILLIS = 8_000;
     /** How long two targets may hold the same key, in milliseconds. */
     private static final long MAX_SHARED_MILLIS = 500;
 
@@ -26,10 +34,15 @@
     private final List<SimulatedTarget> targets = new ArrayList<>();
     private final long[] sharedSince = new long[SimulatedTarget.KEYS];
     private final List<String> violations = new ArrayList<>();
+    private final Set<TargetId> cutOff = new HashSet<>();
+    private final Deque<CallRecord> recentCalls = new ArrayDeque<>();
     private double lateShare;
     private long heldKeySamples;
     private long keySamples;
 
+    /** A call that a target carried out. */
+    private record CallRecord(long at, String kind, TargetId target, KeyRange range, long fence, GrantResult result) {}
+
     SimulatedTargets(int count, ServiceName service, VirtualTime time, SimulatedStore store, SplittableRandom random) {
         this.time = time;
         this.store = store;
@@ -52,6 +65,23 @@
         store.registerTarget(target.entry());
     }
 
+    void announceShutdown(SimulatedTarget target) {
+        if (target.up() && !cutOff.contains(target.id())) {
+            target.draining(true);
+            store.registerTarget(target.entry());
+        }
+    }
+
+    /** Cuts a target off from the hosts and the store, or ends that. It goes on holding what it holds. */
+    void cutOff(SimulatedTarget target, boolean cut) {
+        if (cut) {
+            cutOff.add(target.id());
+            store.removeTarget(target.id());
+        } else if (cutOff.remove(target.id()) && target.up()) {
+            store.registerTarget(target.entry());
+        }
+    }
+
     /** Sets the share of grants that are carried out late and not answered. */
     void lateGrants(double share) {
         lateShare = share;
@@ -65,9 +95,13 @@
     }
 
     void grant(TargetId id, GrantEffect.Grant grant, long timeoutMillis, Consumer<GrantResult> result) {
-        LongFunction<GrantResult> action =
-                arrivedAt -> target(id).grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedAt);
-        arrive(id, result, target -> {
+        LongFunction<GrantResult> action = arrivedAt -> recorded(
+                arrivedAt == time.now() ? "grant" : "late grant that arrived at " + arrivedAt,
+                id,
+                grant.range(),
+                grant.fence(),
+                target(id).grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedAt));
+        arrive(id, timeoutMillis, result, target -> {
             if (random.nextDouble() >= lateShare) {
                 answer(action.apply(time.now()), 0, result);
                 return;
@@ -86,16 +120,42 @@
     void release(TargetId id, GrantEffect.Release release, long timeoutMillis, Consumer<GrantResult> result) {
         arrive(
                 id,
+                timeoutMillis,
                 result,
                 target -> answer(
-                        target.release(release.range(), release.fence()), random.nextInt(MAX_WORK_MILLIS), result));
+                        recorded(
+                                "release",
+                                id,
+                                release.range(),
+                                release.fence(),
+                                target.release(release.range(), release.fence())),
+                        random.nextInt(MAX_WORK_MILLIS),
+                        result));
+    }
+
+    private GrantResult recorded(String kind, TargetId id, KeyRange range, long fence, GrantResult result) {
+        recentCalls.addLast(new CallRecord(time.now(), kind, id, range, fence, result));
+        while (recentCalls.getFirst().at() < time.now() - SHOWN_MILLIS) {
+            recentCalls.removeFirst();
+        }
+        return result;
+    }
+
+    private String callsFor(int key) {
+        return recentCalls.stream()
+                .filter(call -> call.range().contains(key))
+                .map(call -> "  " + call)
+                .collect(Collectors.joining("\n"));
     }
 
     /** Delivers a call to the incarnation that runs when it arrives; with none, the connection is refused. */
-    private void arrive(TargetId id, Consumer<GrantResult> result, Consumer<SimulatedTarget> action) {
+    private void arrive(
+            TargetId id, long timeoutMillis, Consumer<GrantResult> result, Consumer<SimulatedTarget> action) {
         time.after(ONE_WAY_MILLIS + random.nextInt(3), () -> {
             SimulatedTarget target = target(id);
-            if (target.up()) {
+            if (cutOff.contains(id)) {
+                time.after(timeoutMillis, () -> result.accept(new GrantResult.Unknown()));
+            } else if (target.up()) {
                 action.accept(target);
             } else {
                 answer(new GrantResult.NotSent(), 0, result);
@@ -118,7 +178,8 @@
             } else {
                 sharedSince[key] = Math.min(sharedSince[key], now);
                 if (now - sharedSince[key] > MAX_SHARED_MILLIS) {
-                    violations.add("at " + now + " ms two targets hold key " + key * SimulatedTarget.KEY_STEP);
+                    int shared = key * SimulatedTarget.KEY_STEP;
+                    violations.add("at " + now + " ms two targets hold key " + shared + ":\n" + callsFor(shared));
                     sharedSince[key] = Long.MAX_VALUE;
                 }
             }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
@@ -132,8 +132,8 @@
     }
 
     private void mirror(InetSocketAddress relayAddress, Optional<InetSocketAddress> source, Recorder recorder) {
-        StoreMirror mirror =
-                StoreMirror.start(loop, store, "", WATCH_MILLIS, StoreMirrorTest::now, relayAddress, recorder);
+        StoreMirror mirror = StoreMirror.start(
+                loop, store, "", WATCH_MILLIS, StoreMirrorTest::now, StoreMirrorTest::now, relayAddress, recorder);
         source.ifPresent(address -> loop.scheduleAtFixedRate(
                 () -> mirror.setUpdateSources(false, Optional.of(address)), 0, POLL_MILLIS, TimeUnit.MILLISECONDS));
         loop.scheduleAtFixedRate(mirror::sendEchoTimestamp, POLL_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
