A later grantor takes keys back under a token above all grants to their owner

Cause: a move reserved two fencing tokens. The grantor fences the old owner under the first and grants the new owner the second. If it ends before its first call is answered, the next grantor resumes the move by a release under the first token too, and the call that is carried out after that isn't refused.

Fix: a move reserves three tokens: to fence the old owner, to take the range back from it, and for the new owner.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -41,8 +41,6 @@
     private static final double MILLIS_PER_SECOND = 1000;
     private static final double MAX_LATENCY_RATIO = 3;
     private static final double MIN_LATENCY_RATIO = 0.4;
-    /** The fencing tokens that a move reserves: one to fence the old owner again, one for the new owner. */
-    private static final int FENCES_PER_MOVE = 2;
 
     private final ServiceName service;
     private final GrantSettings settings;
@@ -262,7 +260,7 @@
         Move move = assignment.move().orElseThrow();
         switch (progress.step()) {
             case FENCE_OWNER ->
-                sendGrant(assignment, progress, assignment.owner(), move.fence() - 1, Optional.empty(), now, effects);
+                sendGrant(assignment, progress, assignment.owner(), move.ownerFence(), Optional.empty(), now, effects);
             case RELEASE -> sendRelease(assignment, progress, now, effects);
             case GRANT -> sendGrant(assignment, progress, move.to(), move.fence(), progress.handover(), now, effects);
             case AWAIT_EXPIRY, DONE -> {}
@@ -302,7 +300,7 @@
      * timeout.
      */
     private MoveProgress resumeMove(Assignment assignment, long now) {
-        long ownerFence = assignment.move().orElseThrow().fence() - 1;
+        long ownerFence = assignment.move().orElseThrow().takeoverFence();
         MoveProgress progress = new MoveProgress(
                 Step.RELEASE,
                 knownIncarnation(assignment),
@@ -355,7 +353,7 @@
         switch (call.step) {
             case FENCE_OWNER -> {
                 if (result instanceof GrantResult.Done) {
-                    long fence = call.assignment.move().orElseThrow().fence() - 1;
+                    long fence = call.assignment.move().orElseThrow().ownerFence();
                     progress.ownerFenced(fence, grantsOf(call.target).heldUntil());
                 } else {
                     progress.expiresNotBefore(grantsOf(call.target).heldUntil());
@@ -423,7 +421,7 @@
         ShardTable after = before;
         for (PlannedMove planned : ShardPlanner.plan(before, targets, load.snapshot(now))) {
             Assignment owner = after.assignmentOf(planned.range().first()).orElseThrow();
-            long fence = after.lastFence() + FENCES_PER_MOVE;
+            long fence = after.lastFence() + Move.FENCES;
             after = after.with(new Assignment(
                     planned.range(),
                     owner.owner(),
