A new grantor reckons with the calls of its predecessor that may still be carried out

Callers saw: two targets with the same keys after a grantor was replaced while grants were carried out late.

Cause: a new grantor fenced an old owner before a release while the predecessor might renew grants, or if calls of its own had no result. With a predecessor known to have ended, or after its time, it knew nothing of that one's last calls, which may be carried out for the rest of their holds, and sent a release alone; the late grant, under the same token, wasn't refused.

Fix: a target that this grantor hasn't called yet has unconfirmed grants until the last call of a predecessor must have expired, so its keys are released only under a token above them.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
@@ -4,15 +4,20 @@
 final class TargetGrants {
 
     private final GrantSettings settings;
-    private long heldUntil;
-    private long unconfirmedUntil = Long.MIN_VALUE;
+    private long heldUntil = Long.MIN_VALUE;
+    private long unconfirmedUntil;
     private int outstandingCalls;
     private long failingSince = Long.MAX_VALUE;
     private long retryAt = Long.MIN_VALUE;
 
-    TargetGrants(GrantSettings settings, long heldUntil) {
+    /**
+     * Creates the grants of a target that this grantor has not called yet.
+     *
+     * @param unconfirmedUntil until when grants of an earlier grantor may be in force, of which this one knows nothing
+     */
+    TargetGrants(GrantSettings settings, long unconfirmedUntil) {
         this.settings = settings;
-        this.heldUntil = heldUntil;
+        this.unconfirmedUntil = unconfirmedUntil;
     }
 
     void callSent() {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
@@ -326,6 +326,28 @@
         }
     }
 
+    @Nested
+    class PredecessorsCalls {
+
+        /** A grant that an ended grantor had sent was carried out after the release of its keys, which knew nothing of it. */
+        @Test
+        void may_still_be_carried_out_so_the_old_owner_is_fenced_before_a_release() {
+            machine.tableStored(table(ownedBy("a", 5)), 1);
+            machine.startLeading(true, now);
+            now += 500;
+            GrantEffect.Grant renewal = of(GrantEffect.Grant.class, tick()).getFirst();
+            machine.callEnded(renewal.call(), new GrantResult.Done(Optional.empty()), now);
+            machine.tableStored(table(movingTo("a", 5, "b", 9)), 2);
+
+            List<GrantEffect> effects = runFor(100);
+
+            assertThat(of(GrantEffect.Release.class, effects)).isEmpty();
+            assertThat(of(GrantEffect.Grant.class, effects))
+                    .extracting(GrantEffect.Grant::target, GrantEffect.Grant::fence)
+                    .containsExactly(org.assertj.core.groups.Tuple.tuple(TargetId.of("a"), 7L));
+        }
+    }
+
     @Nested
     class PredecessorsMove {
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -80,4 +80,20 @@
             assertSingleOwners(deployment);
         }
     }
+
+    @Nested
+    class LateGrants {
+
+        /** A grant that the previous grantor had sent without an answer was carried out after the release of its keys. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void of_an_earlier_grantor_do_not_outlive_a_release(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.targets().lateGrants(0.2);
+            deployment.repeat(1_500, 4_000, () -> deployment.replaceTarget(2_500, 1_000));
+            deployment.repeat(4_000, 9_000, () -> deployment.restartGrantor(100, 3_000));
+
+            assertSingleOwners(deployment);
+        }
+    }
 }
