A stopping host refuses requests that it may not finish

Callers saw, by the report of other operators: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut off without an answer at its end, some of which may not be repeated.

Cause: a stopping host took requests for as long as it listened and on each connection that was still open, whatever time they might need, and waited for them until the very end of the grace, when it is killed.

Fix: from the signal on, a request whose deadline lies behind the end is refused at once as not run, with a time to retry; what is accepted has its final answer by its deadline. 300 ms before the grace ends, requests from before the signal that are still open get their answers: not run if never sent, else unknown. The host stops listening before its end if the grace is shorter than three seconds.

A target that doesn't answer is the same case.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -70,6 +70,9 @@
     private Optional<DesiredState> desired = Optional.empty();
     private long storeConfirmedAt = Long.MIN_VALUE / 2;
     private long suspendedMillis;
+    /** When this host ends; requests that it may still work on then are refused. */
+    private long endsAt = Long.MAX_VALUE;
+
     private long lastAttemptNumber;
     private long lastReportSequence;
     private List<GatewayEffect> effects = new ArrayList<>();
@@ -196,6 +199,27 @@
         return drainEffects();
     }
 
+    /**
+     * Records that this host shuts down. A request with a later deadline is refused from now on, since it might be cut off.
+     *
+     * @param at the time at which the host ends
+     */
+    public void stopping(long at) {
+        endsAt = at;
+    }
+
+    /** Gives all open requests their final answers, because this host ends now. */
+    public List<GatewayEffect> endRequests() {
+        for (Exchange exchange : List.copyOf(exchanges.values())) {
+            boolean unsent = exchange.running.isEmpty() && !exchange.mayHaveRun;
+            closeWithRefusal(
+                    exchange,
+                    unsent ? RefusalReason.STOPPING : RefusalReason.LOST_ANSWER,
+                    unsent ? withJitter(MIN_RETRY_AFTER_MILLIS) : 0);
+        }
+        return drainEffects();
+    }
+
     /** Returns the time until this host's next report is due, in milliseconds. */
     public long millisUntilReport(long now) {
         return reportAggregator.millisUntilDue(now);
@@ -299,6 +323,10 @@
         }
         long callerWaitMillis = request.waitMillis().orElse(Long.MAX_VALUE / 4) - DEADLINE_MARGIN_MILLIS;
         long deadline = now + Math.max(1, Math.min(callerWaitMillis, route.timeoutMillis()));
+        if (deadline > endsAt) {
+            refuse(request, customer, RefusalReason.STOPPING, withJitter(MIN_RETRY_AFTER_MILLIS));
+            return;
+        }
         Exchange exchange = new Exchange(request, route, service, customer, now, deadline);
         if (service.sharded()) {
             if (exchange.shardKey() < KeyRange.MIN_KEY || exchange.shardKey() > KeyRange.MAX_KEY) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/RefusalReason.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/RefusalReason.java
@@ -24,6 +24,8 @@
     TURNED_AWAY(Outcome.NOT_RUN),
     /** The deadline passed before it was sent. */
     EXPIRED_UNSENT(Outcome.NOT_RUN),
+    /** The host shuts down before the deadline, so another host must serve it. */
+    STOPPING(Outcome.NOT_RUN),
     /** The request is quarantined because it crashes targets. */
     QUARANTINED(Outcome.NOT_RUN),
     /** The deadline passed before a target answered. */
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -534,4 +534,57 @@
             assertThat(sends).hasSizeBetween(1, 10);
         }
     }
+
+    @Nested
+    class Stopping {
+
+        private List<GatewayEffect> arrives(String path, long waitMillis) {
+            return gateway.requestArrived(
+                    new ArrivedRequest(
+                            ++exchange,
+                            "id" + exchange,
+                            "host",
+                            path,
+                            Optional.of("secret"),
+                            OptionalInt.empty(),
+                            OptionalLong.of(waitMillis)),
+                    now);
+        }
+
+        private List<RefusalReason> refusals(List<GatewayEffect> effects) {
+            return effects.stream()
+                    .filter(GatewayEffect.Refuse.class::isInstance)
+                    .map(effect -> ((GatewayEffect.Refuse) effect).reason())
+                    .toList();
+        }
+
+        /** Requests that came late in a planned stop were passed on, and cut off without an answer at its end. */
+        @Test
+        void a_request_that_may_outlast_the_host_is_refused_as_not_run() {
+            gateway.stopping(now + 700);
+
+            assertThat(arrives("/order/x", 600)).anyMatch(GatewayEffect.Send.class::isInstance);
+            assertThat(refusals(arrives("/order/x", 900))).containsExactly(RefusalReason.STOPPING);
+            assertThat(RefusalReason.STOPPING.outcome()).isEqualTo(RefusalReason.Outcome.NOT_RUN);
+        }
+
+        @Test
+        void the_end_answers_every_open_request_truthfully() {
+            targets(1);
+            List<GatewayEffect> effects = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                effects.addAll(arrives("/order/x", 900));
+            }
+            long sent = effects.stream()
+                    .filter(GatewayEffect.Send.class::isInstance)
+                    .count();
+            long open = 12 - refusals(effects).size();
+
+            List<RefusalReason> answers = refusals(gateway.endRequests());
+
+            assertThat(answers).hasSize((int) open).containsOnly(RefusalReason.LOST_ANSWER, RefusalReason.STOPPING);
+            assertThat(answers).filteredOn(RefusalReason.LOST_ANSWER::equals).hasSize((int) sent);
+            assertThat(open).isGreaterThan(sent);
+        }
+    }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -63,6 +63,8 @@
     private static final long COUNTS_LOG_INTERVAL_MILLIS = 10_000;
     private static final long WATCH_WAIT_MILLIS = 500;
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
+    /** How long before the end of a shutdown the requests that are still open get their final answers. */
+    private static final long FINAL_ANSWERS_MILLIS = 300;
     /** How long changes of targets' entries are collected before they are applied together. */
     private static final long TARGETS_DELAY_MILLIS = 200;
 
@@ -414,18 +416,25 @@
     private void beginStop() {
         LOG.info("event=stopping open={}", requests.openRequests());
         stopping = true;
+        long startedAt = requestTime();
+        long margin = Math.min(FINAL_ANSWERS_MILLIS, options.stopTimeoutMillis() / 4);
+        long endsAt = startedAt + options.stopTimeoutMillis() - margin;
+        gateway.stopping(endsAt);
         control.stop();
         callers.drain();
-        long startedAt = now();
-        every(TICK_MILLIS, () -> continueStop(startedAt));
+        long listenUntil = Math.min(startedAt + LISTEN_WHILE_STOPPING_MILLIS, endsAt);
+        every(TICK_MILLIS, () -> continueStop(listenUntil, endsAt));
     }
 
-    private void continueStop(long startedAt) {
-        if (now() - startedAt < LISTEN_WHILE_STOPPING_MILLIS) {
+    private void continueStop(long listenUntil, long endsAt) {
+        if (requestTime() < listenUntil) {
             return;
         }
         callers.stopListening();
         callers.closeUnused(UNUSED_MILLIS_BEFORE_CLOSE);
+        if (requestTime() >= endsAt) {
+            requests.endRequests();
+        }
         if (requests.openRequests() == 0 && callers.connections() == 0) {
             stopped.countDown();
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -298,6 +298,11 @@
         };
     }
 
+    /** Gives all open requests their final answers, because this host ends now. */
+    void endRequests() {
+        run(gateway.endRequests());
+    }
+
     /** Returns the refusals since the last call by reason, and resets them. */
     Map<RefusalReason, Integer> drainRefusals() {
         Map<RefusalReason, Integer> result = new EnumMap<>(refusals);
