Unfinished answers take a bounded amount of memory together

Callers saw, by the report of other operators: a faulty target sent bytes without end; the host that had called it kept them and ran out of memory, and the requests of others on it ended with it.

Cause: each answer has a limit, 16 MB, but a host may receive some hundred at once with a heap of 96 MB.

Fix: the unfinished answers of a host take at most a quarter of its heap together. Beyond that the largest one fails like any malformed answer and its connection is closed; answers that are small or finished aren't touched.

Evidence: UnboundedResponseTest.ManyAtOnce, 40 answers of 1 MB that never end beside 40 sound ones, limit 4 MB: with the limit out of reach none of the 40 failed (test red); with it at most 4 MB are kept, 35 or more fail, and all sound calls get their answers.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -39,6 +39,7 @@
 import org.dragonflymux.gateway.control.GrantClient;
 import org.dragonflymux.gateway.http.ConnectionPool;
 import org.dragonflymux.gateway.http.PollTracker;
+import org.dragonflymux.gateway.http.ResponseLimits;
 import org.dragonflymux.gateway.store.CountingStoreClient;
 import org.dragonflymux.gateway.store.RecordDecoder;
 import org.dragonflymux.gateway.store.RevisionCache;
@@ -111,7 +112,7 @@
         var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         this.gateway = Gateway.of(options.gateway(), random::nextLong, options.monotonicStart());
         this.updateSourceSelector = UpdateSourceSelector.of(options.self());
-        this.pool = ConnectionPool.on(loop, MAX_RESPONSE_BYTES, pollTracker);
+        this.pool = ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_RESPONSE_BYTES), pollTracker);
         this.requests = new RequestPath(gateway, pool, names, clock);
         this.callers = CallerServer.on(loop, requests, this::limits, this::requestTime, pollTracker);
         this.control = ControlLoop.of(
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
@@ -52,6 +52,7 @@
 import org.dragonflymux.gateway.http.CallListener;
 import org.dragonflymux.gateway.http.ConnectionPool;
 import org.dragonflymux.gateway.http.PollTracker;
+import org.dragonflymux.gateway.http.ResponseLimits;
 import org.dragonflymux.gateway.peer.PeerSocket;
 
 /**
@@ -120,15 +121,15 @@
     private void run() {
         long startedAt = clock.monotonicMillis();
         Channel target = listenAsTarget();
-        RequestPath requests =
-                new RequestPath(gateway(), ConnectionPool.on(loop, MAX_BYTES, pollTracker), names, clock);
+        RequestPath requests = new RequestPath(
+                gateway(), ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_BYTES), pollTracker), names, clock);
         PeerSocket lenderSocket = openAsLender();
         PeerSocket peerSocket =
                 PeerSocket.open(loop, gatewayAddress, _ -> {}, (message, _) -> requests.rateMessageReceived(message));
         requests.rateMessageSender((_, message) -> peerSocket.send(message, targetAddress));
         CallerServer callers = CallerServer.on(loop, requests, () -> LIMITS, clock::monotonicMillis, pollTracker);
         callers.listen(gatewayAddress);
-        ConnectionPool pool = ConnectionPool.on(loop, MAX_BYTES, pollTracker);
+        ConnectionPool pool = ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_BYTES), pollTracker);
         loop.execute(() -> call(pool, REQUESTS));
         try {
             boolean complete = ended.await(MAX_MILLIS, TimeUnit.MILLISECONDS);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -35,6 +35,7 @@
 
     private final EventLoop loop;
     private final int maxResponseBytes;
+    private final UnfinishedResponses unfinishedResponses;
     private final PollTracker pollTracker;
     private final Map<Endpoint, Deque<Connection>> idle = new HashMap<>();
 
@@ -46,9 +47,10 @@
      */
     public record Endpoint(String name, InetSocketAddress address) {}
 
-    private ConnectionPool(EventLoop loop, int maxResponseBytes, PollTracker pollTracker) {
+    private ConnectionPool(EventLoop loop, ResponseLimits limits, PollTracker pollTracker) {
         this.loop = loop;
-        this.maxResponseBytes = maxResponseBytes;
+        this.maxResponseBytes = limits.maxResponseBytes();
+        this.unfinishedResponses = new UnfinishedResponses(limits.maxTotalBytes());
         this.pollTracker = pollTracker;
     }
 
@@ -57,8 +59,8 @@
      *
      * @param pollTracker postpones calls until the event loop has polled for events that cancel them
      */
-    public static ConnectionPool on(EventLoop loop, int maxResponseBytes, PollTracker pollTracker) {
-        return new ConnectionPool(loop, maxResponseBytes, pollTracker);
+    public static ConnectionPool on(EventLoop loop, ResponseLimits limits, PollTracker pollTracker) {
+        return new ConnectionPool(loop, limits, pollTracker);
     }
 
     /**
@@ -138,7 +140,7 @@
         ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
         Connection connection = new Connection(this, endpoint, decoder);
         pipeline.addLast(decoder, new HttpRequestEncoder())
-                .addLast(new HttpObjectAggregator(maxResponseBytes))
+                .addLast(unfinishedResponses.meter(), new HttpObjectAggregator(maxResponseBytes))
                 .addLast(connection);
         return connection;
     }
@@ -167,6 +169,11 @@
         }
     }
 
+    /** Returns the size of all unfinished responses, in bytes. */
+    long unfinishedResponseBytes() {
+        return unfinishedResponses.totalBytes();
+    }
+
     static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ConnectionPoolTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ConnectionPoolTest.java
@@ -43,7 +43,7 @@
     }
 
     private void call(PollTracker pollTracker, boolean abandoned) throws ExecutionException, InterruptedException {
-        ConnectionPool pool = ConnectionPool.on(loop, MAX_RESPONSE_BYTES, pollTracker);
+        ConnectionPool pool = ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_RESPONSE_BYTES), pollTracker);
         ConnectionPool.Endpoint endpoint = new ConnectionPool.Endpoint(
                 "target", new InetSocketAddress(InetAddress.getLoopbackAddress(), target.getLocalPort()));
         CompletableFuture<Call> made = new CompletableFuture<>();
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ResponseEndTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ResponseEndTest.java
@@ -54,7 +54,8 @@
         private final EmbeddedChannel channel = new EmbeddedChannel();
 
         private Fixture() {
-            ConnectionPool pool = ConnectionPool.on(channel.eventLoop(), MAX_RESPONSE_BYTES, PollTracker.alwaysFresh());
+            ConnectionPool pool = ConnectionPool.on(
+                    channel.eventLoop(), ResponseLimits.ofHeap(MAX_RESPONSE_BYTES), PollTracker.alwaysFresh());
             Connection connection = pool.addHandlers(
                     channel.pipeline(), new ConnectionPool.Endpoint("target", new InetSocketAddress("127.0.0.1", 1)));
             connection.send(new Call(
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ScriptedTarget.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ScriptedTarget.java
@@ -36,7 +36,8 @@
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final EventLoop loop = loops.next();
-    private final ConnectionPool pool = ConnectionPool.on(loop, MAX_RESPONSE_BYTES, PollTracker.alwaysFresh());
+    private final ConnectionPool pool =
+            ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_RESPONSE_BYTES), PollTracker.alwaysFresh());
     private final AtomicInteger connections = new AtomicInteger();
     private final ServerSocket socket;
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/UnboundedResponseTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/UnboundedResponseTest.java
@@ -8,17 +8,25 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -36,7 +44,7 @@
 
     @BeforeEach
     void listen() throws IOException {
-        target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        target = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
     }
 
     @AfterEach
@@ -79,7 +87,8 @@
         String[] parts = script.split("\\|", 2);
         Thread.ofVirtual().start(() -> sendUnbounded(parts[0], parts[1]));
         CompletableFuture<CallFailure> failed = new CompletableFuture<>();
-        ConnectionPool pool = ConnectionPool.on(loop, MAX_RESPONSE_BYTES, PollTracker.alwaysFresh());
+        ConnectionPool pool =
+                ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_RESPONSE_BYTES), PollTracker.alwaysFresh());
         ConnectionPool.Endpoint endpoint = new ConnectionPool.Endpoint(
                 "target", new InetSocketAddress(InetAddress.getLoopbackAddress(), target.getLocalPort()));
         CallListener listener = new CallListener() {
@@ -108,4 +117,101 @@
         assertThat(failed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(CallFailure.MALFORMED);
         assertThat(sentBytes.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isLessThan(MAX_BYTES_SENT);
     }
+
+    /** Guards against many endless responses at once, each within its own limit, that use up the memory of the host. */
+    @Nested
+    class ManyAtOnce {
+
+        private static final int CALLS = 40;
+        private static final long MAX_TOTAL_BYTES = 4L << 20;
+
+        private final AtomicLong mostBytes = new AtomicLong();
+
+        private void send(ConnectionPool pool, String path, CompletableFuture<String> outcome) {
+            ConnectionPool.Endpoint endpoint = new ConnectionPool.Endpoint(
+                    path, new InetSocketAddress(InetAddress.getLoopbackAddress(), target.getLocalPort()));
+            loop.execute(() -> pool.call(
+                    endpoint,
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path),
+                    0,
+                    1.0,
+                    new CallListener() {
+                        @Override
+                        public void responseReceived(FullHttpResponse response) {
+                            outcome.complete(response.content().toString(StandardCharsets.US_ASCII));
+                        }
+
+                        @Override
+                        public void failed(CallFailure failure) {
+                            outcome.complete(failure.name());
+                        }
+                    }));
+        }
+
+        /** Answers the path {@code /sound} at once; for others, sends a part that is just within the limit, and stalls. */
+        private void serve() {
+            while (!target.isClosed()) {
+                try {
+                    Socket connection = target.accept();
+                    Thread.ofVirtual().start(() -> answer(connection));
+                } catch (IOException closed) {
+                    return;
+                }
+            }
+        }
+
+        private void answer(Socket connection) {
+            try (connection;
+                    BufferedReader in = new BufferedReader(
+                            new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
+                    OutputStream out = connection.getOutputStream()) {
+                if (in.readLine().contains("/sound")) {
+                    out.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound".getBytes(StandardCharsets.US_ASCII));
+                } else {
+                    out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    out.write(new byte[MAX_RESPONSE_BYTES - 1]);
+                }
+                out.flush();
+                in.transferTo(Writer.nullWriter());
+            } catch (IOException closed) {
+                // The caller closed the connection, which ends the response.
+            }
+        }
+
+        @Test
+        void take_a_bounded_amount_of_memory_and_do_not_disturb_other_calls() throws Exception {
+            Thread.ofVirtual().start(this::serve);
+            ConnectionPool pool = ConnectionPool.on(
+                    loop, new ResponseLimits(MAX_RESPONSE_BYTES, MAX_TOTAL_BYTES), PollTracker.alwaysFresh());
+            loop.scheduleAtFixedRate(
+                    () -> mostBytes.accumulateAndGet(pool.unfinishedResponseBytes(), Math::max),
+                    0,
+                    1,
+                    TimeUnit.MILLISECONDS);
+            List<CompletableFuture<String>> endless = new ArrayList<>();
+            for (int i = 0; i < CALLS; i++) {
+                endless.add(new CompletableFuture<>());
+                send(pool, "/endless/" + i, endless.getLast());
+            }
+            List<CompletableFuture<String>> sound = new ArrayList<>();
+            for (int i = 0; i < CALLS; i++) {
+                sound.add(new CompletableFuture<>());
+                send(pool, "/sound/" + i, sound.getLast());
+            }
+
+            for (CompletableFuture<String> outcome : sound) {
+                assertThat(outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("sound");
+            }
+            long mustFail = CALLS - MAX_TOTAL_BYTES / MAX_RESPONSE_BYTES - 1;
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+            while (endless.stream().filter(CompletableFuture::isDone).count() < mustFail && System.nanoTime() < end) {
+                Thread.sleep(10);
+            }
+            assertThat(endless)
+                    .filteredOn(CompletableFuture::isDone)
+                    .hasSizeGreaterThanOrEqualTo((int) mustFail)
+                    .allMatch(outcome -> outcome.join().equals(CallFailure.MALFORMED.name()));
+            assertThat(mostBytes.get()).isLessThanOrEqualTo(MAX_TOTAL_BYTES);
+        }
+    }
 }
