Calls that a move goes on with have connections of their own

Cause: grants and releases shared the connections of callers' requests, and any answer was taken for theirs. An extra answer, of a request or of an earlier grant, passed for the answer to a release that was still waiting for work to end.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
@@ -25,8 +25,16 @@
      * @param fence the fencing token
      * @param holdMillis the duration of the grant
      * @param handover the handover token of the previous owner, if any
+     * @param renewal whether it only renews a grant; otherwise a move goes on with its result
      */
-    record Grant(long call, TargetId target, KeyRange range, long fence, long holdMillis, Optional<String> handover)
+    record Grant(
+            long call,
+            TargetId target,
+            KeyRange range,
+            long fence,
+            long holdMillis,
+            Optional<String> handover,
+            boolean renewal)
             implements GrantEffect {}
 
     /**
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -191,9 +191,10 @@
 
     private void sendRenewal(Assignment assignment, TargetId to, long fence, long now, List<GrantEffect> effects) {
         nextRenewalAt.put(assignment, now + settings.renewalIntervalMillis());
-        long call = ++lastCallNumber;
-        calls.put(call, new Call(to, assignment, Optional.empty(), Step.DONE, now));
-        addGrant(call, to, assignment.range(), fence, Optional.empty(), effects);
+        long call = recordCall(new Call(to, assignment, Optional.empty(), Step.DONE, now));
+        grantsOf(to).callSent();
+        effects.add(new GrantEffect.Grant(
+                call, to, assignment.range(), fence, settings.holdMillis(), Optional.empty(), true));
     }
 
     private void sendGrant(
@@ -205,15 +206,14 @@
             long now,
             List<GrantEffect> effects) {
         progress.callSent();
-        long call = ++lastCallNumber;
-        calls.put(call, new Call(to, assignment, Optional.of(progress), progress.step(), now));
-        addGrant(call, to, assignment.range(), fence, handover, effects);
+        long call = recordCall(new Call(to, assignment, Optional.of(progress), progress.step(), now));
+        grantsOf(to).callSent();
+        effects.add(new GrantEffect.Grant(call, to, assignment.range(), fence, settings.holdMillis(), handover, false));
     }
 
-    private void addGrant(
-            long call, TargetId to, KeyRange range, long fence, Optional<String> handover, List<GrantEffect> effects) {
-        grantsOf(to).callSent();
-        effects.add(new GrantEffect.Grant(call, to, range, fence, settings.holdMillis(), handover));
+    private long recordCall(Call call) {
+        calls.put(++lastCallNumber, call);
+        return lastCallNumber;
     }
 
     private void advanceMove(Assignment assignment, long now, List<GrantEffect> effects) {
@@ -317,8 +317,7 @@
 
     private void sendRelease(Assignment assignment, MoveProgress progress, long now, List<GrantEffect> effects) {
         progress.callSent();
-        long call = ++lastCallNumber;
-        calls.put(call, new Call(assignment.owner(), assignment, Optional.of(progress), Step.RELEASE, now));
+        long call = recordCall(new Call(assignment.owner(), assignment, Optional.of(progress), Step.RELEASE, now));
         effects.add(new GrantEffect.Release(call, assignment.owner(), assignment.range(), progress.ownerFence()));
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -193,7 +193,7 @@
         };
         // On the connection of its earlier attempt, a repeated copy of the earlier response would pass for the new one.
         Call call = send.resent()
-                ? pool.callOnNewConnection(endpoint(send), request, listener)
+                ? pool.callOnNewConnection(endpoint(send), request, 0, listener)
                 : pool.call(endpoint(send), request, 0, maxIdleFraction, listener);
         calls.put(send.attempt(), call);
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -75,21 +75,31 @@
             long timeoutMillis,
             double maxIdleFraction,
             CallListener listener) {
-        Call call = new Call(request, listener);
-        if (timeoutMillis > 0) {
-            call.timeout(loop.schedule(() -> call.fail(CallFailure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS));
-        }
+        Call call = newCall(request, timeoutMillis, listener);
         pollTracker.whenFresh(loop, call::obsolete, () -> dispatch(endpoint, maxIdleFraction, call));
         return call;
     }
 
-    /** Sends a request without a timeout on a connection that has carried no other request. */
-    public Call callOnNewConnection(Endpoint endpoint, FullHttpRequest request, CallListener listener) {
-        Call call = new Call(request, listener);
+    /**
+     * Sends a request on a connection that has carried no other request.
+     *
+     * @param timeoutMillis the time after which the call fails, 0 for none
+     */
+    public Call callOnNewConnection(
+            Endpoint endpoint, FullHttpRequest request, long timeoutMillis, CallListener listener) {
+        Call call = newCall(request, timeoutMillis, listener);
         pollTracker.whenFresh(loop, call::obsolete, () -> connect(endpoint, call));
         return call;
     }
 
+    private Call newCall(FullHttpRequest request, long timeoutMillis, CallListener listener) {
+        Call call = new Call(request, listener);
+        if (timeoutMillis > 0) {
+            call.timeout(loop.schedule(() -> call.fail(CallFailure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS));
+        }
+        return call;
+    }
+
     private void dispatch(Endpoint endpoint, double maxIdleFraction, Call call) {
         Connection connection = takeIdle(endpoint, maxIdleFraction);
         if (connection == null) {
