--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -6,10 +6,7 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -18,35 +15,27 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.dragonflymux.core.balance.EntryRetention;
-import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.desired.DesiredState;
 import org.dragonflymux.core.desired.RequestLimits;
 import org.dragonflymux.core.gateway.Gateway;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.membership.MembershipStateMachine;
 import org.dragonflymux.core.membership.UpdateSourceSelector;
-import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
-import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.quota.LenderPartition;
 import org.dragonflymux.core.shard.ShardTable;
 import org.dragonflymux.gateway.caller.CallerServer;
 import org.dragonflymux.gateway.clock.HostClock;
 import org.dragonflymux.gateway.control.ControlLoop;
-import org.dragonflymux.gateway.control.FleetRecords;
 import org.dragonflymux.gateway.control.GrantClient;
 import org.dragonflymux.gateway.http.ConnectionPool;
 import org.dragonflymux.gateway.http.PollTracker;
 import org.dragonflymux.gateway.http.ResponseLimits;
 import org.dragonflymux.gateway.store.CountingStoreClient;
 import org.dragonflymux.gateway.store.RecordDecoder;
-import org.dragonflymux.gateway.store.RevisionCache;
 import org.dragonflymux.gateway.store.StoreClient;
 import org.dragonflymux.gateway.store.StoreMirror;
-import org.dragonflymux.gateway.store.StoreRecord;
-import org.dragonflymux.gateway.store.StoredItem;
 
 /** A gateway process: its sockets and timers, which all run on one event loop. */
 public final class GatewayProcess {
@@ -66,8 +55,6 @@
     private static final long LISTEN_WHILE_STOPPING_MILLIS = 3_000;
     /** How long before the end of a shutdown the requests that are still open get their final answers. */
     private static final long FINAL_ANSWERS_MILLIS = 300;
-    /** How long changes of targets' entries are collected before they are applied together. */
-    private static final long TARGETS_DELAY_MILLIS = 200;
 
     private static final long UNUSED_MILLIS_BEFORE_CLOSE = 300;
     private static final int RELAY_PORT_OFFSET = 1;
@@ -78,14 +65,13 @@
     private final HostClock clock = HostClock.system();
     private final GatewayOptions options;
     private final EventLoop loop;
-    private final RecordDecoder decoder;
     private final CountingStoreClient store;
     private final Gateway gateway;
     private final RequestPath requests;
     private final CallerServer callers;
     private final ControlLoop control;
     private final ConnectionPool pool;
-    private final EntryRetention retention = EntryRetention.empty();
+    private final StoreUpdates storeUpdates;
     private final UpdateSourceSelector updateSourceSelector;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final PollTracker pollTracker;
@@ -107,7 +93,6 @@
         this.loop = loop;
         this.pollTracker = pollTracker;
         this.names = names;
-        this.decoder = decoder;
         this.store = CountingStoreClient.of(stores.apply(loop));
         var random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         this.gateway = Gateway.of(options.gateway(), random::nextLong, options.monotonicStart());
@@ -124,6 +109,7 @@
                 clock.leaseClock(),
                 clock.holdClock(),
                 new ControlListener());
+        this.storeUpdates = StoreUpdates.of(loop, decoder, gateway, control, updateSourceSelector, clock);
     }
 
     /**
@@ -171,12 +157,12 @@
         mirror = StoreMirror.start(
                 loop,
                 store,
-                decoder.prefix(),
+                storeUpdates.prefix(),
                 WATCH_WAIT_MILLIS,
                 clock.leaseClock(),
                 clock.holdClock(),
                 relayAddress(options.peers()),
-                new MirrorListener());
+                storeUpdates);
         AdaptiveTimer requestTimer = AdaptiveTimer.start(
                 loop,
                 gateway::hasWaitingRequests,
@@ -219,7 +205,7 @@
     }
 
     /** Runs the action of a timer; an unexpected failure must not end the timer. */
-    private static void guarded(Runnable action) {
+    static void guarded(Runnable action) {
         try {
             action.run();
         } catch (RuntimeException failure) {
@@ -228,9 +214,7 @@
     }
 
     private void controlTick() {
-        if (retention.retainsEntries()) {
-            gateway.directory().replace(retention.entries(now()), requestTime());
-        }
+        storeUpdates.dropExpiredEntries();
         control.collectsReports(gateway.collector().isEmpty());
         control.tick();
         applyUpdateSource();
@@ -264,106 +248,6 @@
         }
     }
 
-    /** Applies changes in the store to the gateway. */
-    private final class MirrorListener implements StoreMirror.Listener {
-
-        private final RevisionCache<Optional<StoreRecord>> records = RevisionCache.of(this::decode);
-
-        private Set<String> targetKeys = Set.of();
-        private Map<String, StoredItem> latestItems = Map.of();
-        private final CoalescingTrigger othersUpdate =
-                CoalescingTrigger.of(loop, TARGETS_DELAY_MILLIS, () -> guarded(this::applyOthers));
-
-        @Override
-        public void valuesChanged(Map<String, StoredItem> items, Set<String> changedKeys) {
-            boolean firstRead = latestItems.isEmpty();
-            latestItems = items;
-            boolean onlyOwnAndTargets = changedKeys.stream().allMatch(key -> isOwn(key) || isTarget(items, key));
-            if (firstRead || !onlyOwnAndTargets) {
-                othersUpdate.runNow();
-            } else if (!changedKeys.stream().allMatch(this::isOwn)) {
-                // Applying any change takes a pass over all targets, so their changes are collected for a moment.
-                othersUpdate.request();
-            }
-            if (firstRead || changedKeys.stream().anyMatch(this::isOwn)) {
-                control.recordsChanged(items);
-                updateSourceSelector.grantorChanged(control.grantor(), now());
-            }
-        }
-
-        private boolean isOwn(String key) {
-            return key.startsWith(FleetRecords.PREFIX);
-        }
-
-        private boolean isTarget(Map<String, StoredItem> items, String key) {
-            StoredItem item = items.get(key);
-            return item == null
-                    ? targetKeys.contains(key)
-                    : records.read(item)
-                            .filter(StoreRecord.Target.class::isInstance)
-                            .isPresent();
-        }
-
-        private void applyOthers() {
-            Map<TargetId, TargetEntry> targets = new HashMap<>();
-            Set<FailureDomain> drained = new HashSet<>();
-            Set<String> keysOfTargets = new HashSet<>();
-            for (StoredItem item : latestItems.values()) {
-                if (!isOwn(item.key())) {
-                    records.read(item).ifPresent(storeRecord -> {
-                        apply(storeRecord, targets, drained);
-                        if (storeRecord instanceof StoreRecord.Target) {
-                            keysOfTargets.add(item.key());
-                        }
-                    });
-                }
-            }
-            targetKeys = keysOfTargets;
-            records.retain(latestItems.keySet());
-            retention.replace(targets, now());
-            gateway.directory().replace(retention.entries(now()), requestTime());
-            gateway.directory().replaceDrainedDomains(drained);
-        }
-
-        private Optional<StoreRecord> decode(StoredItem item) {
-            return decoder.decode(item.key(), item.value())
-                    .peekLeft(error -> LOG.warn(
-                            "event=record_unreadable key={} revision={} error={}", item.key(), item.revision(), error))
-                    .toJavaOptional();
-        }
-
-        private void apply(StoreRecord storeRecord, Map<TargetId, TargetEntry> targets, Set<FailureDomain> drained) {
-            switch (storeRecord) {
-                case StoreRecord.Desired desired -> applyDesiredState(desired.state());
-                case StoreRecord.Target target -> targets.put(target.entry().id(), target.entry());
-                case StoreRecord.Drain drain -> drained.add(drain.domain());
-            }
-        }
-
-        private void applyDesiredState(DesiredState state) {
-            if (gateway.desired().map(DesiredState::version).orElse(-1L) < state.version()) {
-                LOG.info("event=desired_state version={}", state.version());
-                gateway.updateDesiredState(state);
-                control.desiredStateChanged(state);
-            }
-        }
-
-        @Override
-        public void confirmed(long at) {
-            gateway.storeConfirmed(at - clock.suspendedMillis());
-        }
-
-        @Override
-        public void updatesRelayed(long completeAt) {
-            updateSourceSelector.updatesReceived(completeAt, now());
-        }
-
-        @Override
-        public void storeRecovered(long at) {
-            retention.storeRecovered(at);
-        }
-    }
-
     /** Passes updates from the control loop to the gateway. */
     private final class ControlListener implements ControlLoop.Listener {
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/clock/BootTime.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/clock/BootTime.java
@@ -55,7 +55,7 @@
         try {
             return (int) clockGettime.invokeExact(CLOCK_BOOTTIME, timespec);
         } catch (Throwable impossible) {
-            throw new IllegalStateException("clock_gettime can't be called", impossible);
+            throw new UnreadableClockException(impossible);
         }
     }
 
