Renewals without a lease keep to established connections; releases have a token of their own

Causes: a grantor that the store doesn't answer renews for 10 s, also at a later incarnation of a target, which has forgotten the next grantor's fencing token. And a move that begins again, because its owner started again, fenced the owner twice under one token, so that the first of these grants, carried out late, passed the release under the same token.

Fix: without a valid lease a renewal is sent only on a connection on which the target has answered before, which can't lead to another process. A release has the token above that of the fencing grant, whoever asks for it. While the store is away for all hosts, a target that closes all its connections loses its keys until the store is back.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
@@ -7,6 +7,16 @@
 /** An action requested by the grant state machine. */
 public sealed interface GrantEffect {
 
+    /** The connection of a call, which determines what else may answer on it and which process gets it. */
+    enum Connection {
+        /** A new one, on which no other answer can arrive: a move goes on with the result. */
+        NEW,
+        /** Any one for renewals. */
+        ANY,
+        /** One on which the target has answered before, so that no later incarnation of it gets the call. */
+        ESTABLISHED
+    }
+
     /**
      * Write a table if the stored table is unchanged.
      *
@@ -25,7 +35,7 @@
      * @param fence the fencing token
      * @param holdMillis the duration of the grant
      * @param handover the handover token of the previous owner, if any
-     * @param renewal whether it only renews a grant; otherwise a move goes on with its result
+     * @param connection the connection to use
      */
     record Grant(
             long call,
@@ -34,7 +44,7 @@
             long fence,
             long holdMillis,
             Optional<String> handover,
-            boolean renewal)
+            Connection connection)
             implements GrantEffect {}
 
     /**
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -189,12 +189,18 @@
         sendRenewal(assignment, assignment.owner(), assignment.fence(), now, effects);
     }
 
+    /**
+     * Renews a grant. Without a valid lease, the next grantor may have moved the keys already; their earlier owner refuses this
+     * grant then, but a later incarnation of it, which this host may not know of, would take it.
+     */
     private void sendRenewal(Assignment assignment, TargetId to, long fence, long now, List<GrantEffect> effects) {
         nextRenewalAt.put(assignment, now + settings.renewalIntervalMillis());
         long call = recordCall(new Call(to, assignment, Optional.empty(), Step.DONE, now));
         grantsOf(to).callSent();
+        GrantEffect.Connection connection =
+                leaseValid ? GrantEffect.Connection.ANY : GrantEffect.Connection.ESTABLISHED;
         effects.add(new GrantEffect.Grant(
-                call, to, assignment.range(), fence, settings.holdMillis(), Optional.empty(), true));
+                call, to, assignment.range(), fence, settings.holdMillis(), Optional.empty(), connection));
     }
 
     private void sendGrant(
@@ -208,7 +214,8 @@
         progress.callSent();
         long call = recordCall(new Call(to, assignment, Optional.of(progress), progress.step(), now));
         grantsOf(to).callSent();
-        effects.add(new GrantEffect.Grant(call, to, assignment.range(), fence, settings.holdMillis(), handover, false));
+        effects.add(new GrantEffect.Grant(
+                call, to, assignment.range(), fence, settings.holdMillis(), handover, GrantEffect.Connection.NEW));
     }
 
     private long recordCall(Call call) {
@@ -289,7 +296,7 @@
         if (owner.hasOutstandingCalls()) {
             expiresAt = Math.max(expiresAt, now + settings.callTimeoutMillis() + settings.worstCaseHoldMillis());
         }
-        MoveProgress progress = new MoveProgress(first, knownIncarnation(assignment), assignment.fence(), expiresAt);
+        MoveProgress progress = new MoveProgress(first, knownIncarnation(assignment), expiresAt);
         progress.retryAt(now + PROPAGATION_DELAY_MILLIS);
         return progress;
     }
@@ -300,11 +307,9 @@
      * timeout.
      */
     private MoveProgress resumeMove(Assignment assignment, long now) {
-        long ownerFence = assignment.move().orElseThrow().takeoverFence();
         MoveProgress progress = new MoveProgress(
                 Step.RELEASE,
                 knownIncarnation(assignment),
-                ownerFence,
                 grantsOf(assignment.owner()).heldUntil());
         progress.retryAt(Math.max(now, leadingSince + settings.callTimeoutMillis()));
         return progress;
@@ -318,7 +323,8 @@
     private void sendRelease(Assignment assignment, MoveProgress progress, long now, List<GrantEffect> effects) {
         progress.callSent();
         long call = recordCall(new Call(assignment.owner(), assignment, Optional.of(progress), Step.RELEASE, now));
-        effects.add(new GrantEffect.Release(call, assignment.owner(), assignment.range(), progress.ownerFence()));
+        long fence = assignment.move().orElseThrow().releaseFence();
+        effects.add(new GrantEffect.Release(call, assignment.owner(), assignment.range(), fence));
     }
 
     /** Handles the result of a call. */
@@ -352,8 +358,7 @@
         switch (call.step) {
             case FENCE_OWNER -> {
                 if (result instanceof GrantResult.Done) {
-                    long fence = call.assignment.move().orElseThrow().ownerFence();
-                    progress.ownerFenced(fence, grantsOf(call.target).heldUntil());
+                    progress.ownerFenced(grantsOf(call.target).heldUntil());
                 } else {
                     progress.expiresNotBefore(grantsOf(call.target).heldUntil());
                     progress.advanceTo(Step.AWAIT_EXPIRY);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Move.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Move.java
@@ -21,10 +21,10 @@
     }
 
     /**
-     * Returns the token under which a later grantor takes the range back from the old owner. It is above {@link #ownerFence},
-     * since a grant under that one by the earlier grantor may still arrive.
+     * Returns the token under which the old owner is asked to release the range. It is above {@link #ownerFence}, since a grant
+     * under that one, by this grantor or an earlier one, may be carried out later.
      */
-    long takeoverFence() {
+    long releaseFence() {
         return fence - 1;
     }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/MoveProgress.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/MoveProgress.java
@@ -23,13 +23,11 @@
     private long expiresAt;
     private boolean callOutstanding;
     private long retryAt = Long.MIN_VALUE;
-    private long ownerFence;
     private Optional<String> handover = Optional.empty();
 
-    MoveProgress(Step first, long ownerIncarnation, long ownerFence, long expiresAt) {
+    MoveProgress(Step first, long ownerIncarnation, long expiresAt) {
         this.step = first;
         this.ownerIncarnation = ownerIncarnation;
-        this.ownerFence = ownerFence;
         this.expiresAt = expiresAt;
     }
 
@@ -54,10 +52,6 @@
         return expiresAt;
     }
 
-    long ownerFence() {
-        return ownerFence;
-    }
-
     Optional<String> handover() {
         return handover;
     }
@@ -70,8 +64,7 @@
         callOutstanding = true;
     }
 
-    void ownerFenced(long fence, long heldUntil) {
-        ownerFence = fence;
+    void ownerFenced(long heldUntil) {
         expiresAt = heldUntil;
         advanceTo(Step.RELEASE);
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -92,6 +92,28 @@
         return call;
     }
 
+    /**
+     * Sends a request on a connection that has carried others before; the call fails as not sent if there is none. The process
+     * that gets the request is the one that has answered these.
+     */
+    public Call callOnEstablishedConnection(
+            Endpoint endpoint,
+            FullHttpRequest request,
+            long timeoutMillis,
+            double maxIdleFraction,
+            CallListener listener) {
+        Call call = newCall(request, timeoutMillis, listener);
+        pollTracker.whenFresh(loop, call::obsolete, () -> {
+            Connection connection = takeIdle(endpoint, maxIdleFraction);
+            if (connection == null) {
+                call.fail(CallFailure.NOT_SENT);
+            } else {
+                connection.send(call);
+            }
+        });
+        return call;
+    }
+
     private Call newCall(FullHttpRequest request, long timeoutMillis, CallListener listener) {
         Call call = new Call(request, listener);
         if (timeoutMillis > 0) {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -96,4 +96,25 @@
             assertSingleOwners(deployment);
         }
     }
+
+    @Nested
+    class ManyFaults {
+
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void together_leave_each_key_with_one_owner(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.targets().lateGrants(0.05);
+            deployment.store().loseAnswers(0.1);
+            deployment.repeat(3_000, 9_000, () -> deployment.restartTarget(300, 1_500));
+            deployment.repeat(4_000, 12_000, () -> deployment.replaceTarget(2_500, 1_000));
+            deployment.repeat(6_000, 20_000, () -> deployment.cutOffTarget(2_000, 6_000));
+            deployment.repeat(8_000, 20_000, () -> deployment.isolateGrantor(3_000, 15_000));
+            deployment.repeat(8_000, 20_000, () -> deployment.restartGrantor(100, 3_000));
+            deployment.repeat(2_000, 6_000, () -> deployment.stepTimeOfDay(2_000));
+
+            deployment.runUntil(RUN_MILLIS);
+            assertThat(deployment.targets().violations()).isEmpty();
+        }
+    }
 }
