--- a/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/explain/RequestTimeline.java
+++ b/dragonflymux-ctl/src/main/java/org/dragonflymux/ctl/explain/RequestTimeline.java
@@ -131,7 +131,7 @@
             case NO_TARGET -> "no eligible target was reachable" + optionalDetail(failedTargets());
             case TURNED_AWAY -> "targets declined to run it: " + failedTargets();
             case EXPIRED_UNSENT -> "its deadline passed before it was sent";
-            case STOPPING -> "the host was shutting down and might not have finished it"
+            case STOPPING -> "the host was shutting down and might not have finished it";
             case QUARANTINED -> "it is quarantined because it crashes targets";
             case EXPIRED -> "its deadline passed while a target was processing it";
             case LOST_ANSWER -> "it may have run: " + failedTargets();
