An unreadable record of the grantor is replaced

Found while reading the diff: since terms came, a record in the grantor's place that can't be read counted as no record, and a claim asked for a key that doesn't exist, so no host could become the grantor. The revision of the key is kept apart from the term again; replaces_an_unreadable_record guards it.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -50,6 +50,7 @@
     private long nextLeaseCallAt = Long.MIN_VALUE;
     private long nextWriteAt = Long.MIN_VALUE;
     private Optional<GrantorTerm> grantor = Optional.empty();
+    private long grantorRevision;
     private Optional<FleetMember> lastGrantor = Optional.empty();
     private long lastGrantorRevision;
     private boolean predecessorEnded;
@@ -97,14 +98,20 @@
         members.remove(host);
     }
 
-    /** Records the current term of a grantor; empty if its key does not exist. */
-    public void grantorChanged(Optional<GrantorTerm> term, long now) {
+    /**
+     * Records the current term of a grantor.
+     *
+     * @param term the term, empty if the grantor's key does not exist or its value is unreadable
+     * @param revision the revision of the grantor's key, 0 if it does not exist
+     */
+    public void grantorChanged(Optional<GrantorTerm> term, long revision, long now) {
         if (term.isPresent()) {
             grantorAbsentSince = Long.MAX_VALUE;
         } else if (grantor.isPresent() || grantorAbsentSince == Long.MAX_VALUE) {
             grantorAbsentSince = now;
         }
         grantor = term;
+        grantorRevision = revision;
         Optional<GrantorTerm> own = term.filter(current -> current.holder().sameIncarnation(self));
         if (!own.equals(ownTerm)) {
             ownTerm = own;
@@ -273,8 +280,7 @@
             predecessorEnded = lastGrantor
                     .map(last -> last.host().equals(self.host()) || hasEnded(last))
                     .orElse(true);
-            effects.add(new MembershipEffect.ClaimGrantorRole(
-                    lease, self, grantor.map(GrantorTerm::revision).orElse(0L), lastGrantorRevision));
+            effects.add(new MembershipEffect.ClaimGrantorRole(lease, self, grantorRevision, lastGrantorRevision));
         }
     }
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
@@ -106,7 +106,7 @@
 
         private void obtainedLongLease() {
             register();
-            machine.grantorChanged(term(member("a", 1), 70, 3), now);
+            machine.grantorChanged(term(member("a", 1), 70, 3), 3, now);
             machine.synced(now);
             assertThat(runFor(1_100)).contains(obtainLong);
             machine.leaseObtained(8, now);
@@ -133,7 +133,7 @@
         void are_not_used_by_a_host_with_a_role() {
             machine.roleChanged(true);
             register();
-            machine.grantorChanged(term(member("a", 1), 70, 3), now);
+            machine.grantorChanged(term(member("a", 1), 70, 3), 3, now);
             machine.synced(now);
 
             assertThat(runFor(10_000)).doesNotContain(obtainLong);
@@ -142,7 +142,7 @@
         @Test
         void are_replaced_by_a_short_one_before_a_role_is_claimed() {
             obtainedLongLease();
-            machine.grantorChanged(Optional.empty(), now);
+            machine.grantorChanged(Optional.empty(), 0, now);
             List<MembershipEffect> effects = runFor(1_000);
             assertThat(effects).contains(obtainShort);
             assertThat(containsClaim(effects)).isFalse();
@@ -176,7 +176,7 @@
 
         @Test
         void waits_while_there_is_a_grantor() {
-            machine.grantorChanged(term(member("a", 1), 70, 3), now);
+            machine.grantorChanged(term(member("a", 1), 70, 3), 3, now);
             machine.synced(now);
 
             assertThat(containsClaim(runFor(3_000))).isFalse();
@@ -191,15 +191,24 @@
 
         @Test
         void replaces_an_earlier_incarnation_of_this_host_immediately() {
-            machine.grantorChanged(term(member("b", 0), 70, 3), now);
+            machine.grantorChanged(term(member("b", 0), 70, 3), 3, now);
             machine.synced(now);
 
             assertThat(machine.tick(now)).contains(new MembershipEffect.ClaimGrantorRole(7, self, 3, 0));
         }
 
+        /** Guards against a fleet without a grantor because another writer left an odd record in its place. */
+        @Test
+        void replaces_an_unreadable_record() {
+            machine.grantorChanged(Optional.empty(), 3, now);
+            machine.synced(now);
+
+            assertThat(runFor(1_000)).contains(new MembershipEffect.ClaimGrantorRole(7, self, 3, 0));
+        }
+
         @Test
         void replaces_a_grantor_whose_host_is_registered_with_a_later_incarnation() {
-            machine.grantorChanged(term(member("a", 1), 70, 3), now);
+            machine.grantorChanged(term(member("a", 1), 70, 3), 3, now);
             machine.memberRegistered(member("a", 2));
             machine.synced(now);
 
@@ -224,7 +233,7 @@
             machine.synced(now);
             runFor(1_000);
             machine.leaseRenewed(now);
-            machine.grantorChanged(term(self, 7, 4), now);
+            machine.grantorChanged(term(self, 7, 4), 4, now);
             return machine.tick(now).stream()
                     .filter(MembershipEffect.GrantorRoleChanged.class::isInstance)
                     .map(MembershipEffect.GrantorRoleChanged.class::cast)
@@ -255,7 +264,7 @@
         @Test
         void ends_when_another_host_becomes_the_grantor() {
             elected(Optional.empty());
-            machine.grantorChanged(term(member("a", 1), 70, 9), now);
+            machine.grantorChanged(term(member("a", 1), 70, 9), 9, now);
 
             assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(Optional.empty(), true));
         }
@@ -290,7 +299,7 @@
             elected(Optional.empty());
             machine.leaseEnded();
             machine.leaseObtained(8, now);
-            machine.grantorChanged(term(self, 8, 9), now);
+            machine.grantorChanged(term(self, 8, 9), 9, now);
 
             assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(term(self, 8, 9), true));
             assertThat(machine.termConfirmed(now)).isTrue();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -131,7 +131,7 @@
     public void recordsChanged(Map<String, StoredItem> items) {
         long now = leaseClock.nowMillis();
         Set<HostId> registered = new HashSet<>();
-        Optional<GrantorTerm> grantor = Optional.empty();
+        Optional<StoredItem> grantor = Optional.empty();
         Optional<StoredItem> lastGrantor = Optional.empty();
         List<LenderPartition> lenderPartitions = new ArrayList<>();
         for (StoredItem item : items.values()) {
@@ -141,7 +141,7 @@
                     membership.memberRegistered(member);
                 });
             } else if (item.key().equals(FleetRecords.GRANTOR_KEY)) {
-                grantor = grantorRecord.read(item);
+                grantor = Optional.of(item);
             } else if (item.key().equals(FleetRecords.LAST_GRANTOR_KEY)) {
                 lastGrantor = Optional.of(item);
             } else if (item.key().startsWith(FleetRecords.LENDER_PARTITION_PREFIX)) {
@@ -161,7 +161,10 @@
         membership.lastGrantorChanged(
                 lastGrantor.flatMap(members::read),
                 lastGrantor.map(StoredItem::revision).orElse(0L));
-        membership.grantorChanged(grantor, now);
+        membership.grantorChanged(
+                grantor.flatMap(grantorRecord::read),
+                grantor.map(StoredItem::revision).orElse(0L),
+                now);
         membership.synced(now);
         lenderElection.replacePartitions(lenderPartitions);
         if (!membership.members().equals(reportedHosts)) {
