Grants share connections with requests again; only releases have new ones

Renewals without a lease, which need an established connection, would mostly have found none.

A repeated answer to a grant may pass for that to the next one, which gives no keys away, since a release has a token above all grants; releases keep their new connections.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
@@ -7,11 +7,9 @@
 /** An action requested by the grant state machine. */
 public sealed interface GrantEffect {
 
-    /** The connection of a call, which determines what else may answer on it and which process gets it. */
+    /** The connection of a grant, which determines which process of the target gets it. */
     enum Connection {
-        /** A new one, on which no other answer can arrive: a move goes on with the result. */
-        NEW,
-        /** Any one for renewals. */
+        /** Any one, or a new one. */
         ANY,
         /** One on which the target has answered before, so that no later incarnation of it gets the call. */
         ESTABLISHED
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -215,7 +215,7 @@
         long call = recordCall(new Call(to, assignment, Optional.of(progress), progress.step(), now));
         grantsOf(to).callSent();
         effects.add(new GrantEffect.Grant(
-                call, to, assignment.range(), fence, settings.holdMillis(), handover, GrantEffect.Connection.NEW));
+                call, to, assignment.range(), fence, settings.holdMillis(), handover, GrantEffect.Connection.ANY));
     }
 
     private long recordCall(Call call) {
