--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -97,6 +97,37 @@
         }
     }
 
+    @Nested
+    class GrantorsInARow {
+
+        /** A host without the store went on renewing after its successor's short term; the next grantor gave its keys away. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void wait_for_a_host_before_the_last_that_may_still_renew(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.cutOffTargetFromAllButGrantor(14_000);
+            deployment.isolateGrantor(14_000, 14_001);
+            deployment.runUntil(START_MILLIS + 5_000);
+            deployment.restartAnsweredGrantor(100, 101);
+
+            deployment.runUntil(START_MILLIS + 20_000);
+            assertThat(deployment.targets().violations()).isEmpty();
+        }
+
+        /** The same, at times drawn from the seed. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void wait_for_the_renewals_of_all_before_them(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.repeat(1_500, 4_000, () -> deployment.cutOffTargetFromMostHosts(8_000, 14_000));
+            deployment.repeat(3_000, 9_000, () -> deployment.isolateGrantor(9_000, 14_000));
+            deployment.repeat(1_000, 4_000, () -> deployment.restartAnsweredGrantor(100, 400));
+
+            deployment.runUntil(RUN_MILLIS);
+            assertThat(deployment.targets().violations()).isEmpty();
+        }
+    }
+
     @Nested
     class ManyFaults {
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
@@ -81,6 +81,28 @@
         time.after(random.nextInt(minMillis, maxMillis), () -> targets.cutOff(target, false));
     }
 
+    /** Cuts a random target off from all hosts but a random one for a while. */
+    void cutOffTargetFromMostHosts(int minMillis, int maxMillis) {
+        SimulatedHost reaching = hosts.get(random.nextInt(hosts.size()));
+        cutOffTargetFromOthers(reaching, random.nextInt(minMillis, maxMillis));
+    }
+
+    /** Cuts a random target off from all hosts but the grantor for a while. */
+    void cutOffTargetFromAllButGrantor(int millis) {
+        hosts.stream()
+                .filter(SimulatedHost::leading)
+                .findFirst()
+                .ifPresent(grantor -> cutOffTargetFromOthers(grantor, millis));
+    }
+
+    private void cutOffTargetFromOthers(SimulatedHost reaching, int millis) {
+        SimulatedTarget target = targets.all().get(random.nextInt(targets.all().size()));
+        hosts.stream().filter(host -> host != reaching).forEach(host -> {
+            targets.cutOff(target, host.name(), true);
+            time.after(millis, () -> targets.cutOff(target, host.name(), false));
+        });
+    }
+
     /** Sets the time of day of the grantor ahead, and back after half a second. */
     void stepTimeOfDay(long millis) {
         hosts.stream().filter(SimulatedHost::leading).forEach(host -> host.stepTimeOfDay(millis, 500));
@@ -88,10 +110,19 @@
 
     /** Kills the grantor, whose calls may still arrive, and starts the host again after a while. */
     void restartGrantor(int minDownMillis, int maxDownMillis) {
-        hosts.stream().filter(SimulatedHost::leading).forEach(host -> {
-            host.kill();
-            time.after(random.nextInt(minDownMillis, maxDownMillis), host::start);
-        });
+        hosts.stream().filter(SimulatedHost::leading).forEach(host -> restart(host, minDownMillis, maxDownMillis));
+    }
+
+    /** Kills the grantor if the store answers it, and starts the host again after a while. */
+    void restartAnsweredGrantor(int minDownMillis, int maxDownMillis) {
+        hosts.stream()
+                .filter(host -> host.leading() && store.answers(host.name()))
+                .forEach(host -> restart(host, minDownMillis, maxDownMillis));
+    }
+
+    private void restart(SimulatedHost host, int minDownMillis, int maxDownMillis) {
+        host.kill();
+        time.after(random.nextInt(minDownMillis, maxDownMillis), host::start);
     }
 
     /** Shuts a random target down: it announces that it leaves, ends after a while, and a new one starts in its place. */
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
@@ -121,13 +121,13 @@
 
             @Override
             public void grant(TargetEntry to, GrantEffect.Grant grant, long timeout, Consumer<GrantResult> result) {
-                targets.grant(to.id(), grant, timeout, establishedWith, ifRunning(result));
+                targets.grant(name, to.id(), grant, timeout, establishedWith, ifRunning(result));
             }
 
             @Override
             public void release(
                     TargetEntry to, GrantEffect.Release release, long timeout, Consumer<GrantResult> result) {
-                targets.release(to.id(), release, timeout, ifRunning(result));
+                targets.release(name, to.id(), release, timeout, ifRunning(result));
             }
 
             private Consumer<GrantResult> ifRunning(Consumer<GrantResult> result) {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
@@ -37,6 +37,7 @@
     private final long[] sharedSince = new long[SimulatedTarget.KEYS];
     private final List<String> violations = new ArrayList<>();
     private final Set<TargetId> cutOff = new HashSet<>();
+    private final Set<Path> cutPaths = new HashSet<>();
     private final Deque<CallRecord> recentCalls = new ArrayDeque<>();
     private double lateShare;
     private long heldKeySamples;
@@ -45,6 +46,9 @@
     /** A call that a target carried out. */
     private record CallRecord(long at, String kind, TargetId target, KeyRange range, long fence, GrantResult result) {}
 
+    /** The way of calls from a host to a target. */
+    private record Path(String host, TargetId target) {}
+
     SimulatedTargets(int count, ServiceName service, VirtualTime time, SimulatedStore store, SplittableRandom random) {
         this.time = time;
         this.store = store;
@@ -84,6 +88,16 @@
         }
     }
 
+    /** Cuts a target off from one host, or ends that. */
+    void cutOff(SimulatedTarget target, String host, boolean cut) {
+        Path path = new Path(host, target.id());
+        if (cut) {
+            cutPaths.add(path);
+        } else {
+            cutPaths.remove(path);
+        }
+    }
+
     /** Sets the share of grants that are carried out late and not answered. */
     void lateGrants(double share) {
         lateShare = share;
@@ -99,9 +113,11 @@
     /**
      * Sends a grant.
      *
+     * @param sender the name of the host that sends it
      * @param establishedWith the incarnations of targets that have a connection with the sender; it is updated
      */
     void grant(
+            String sender,
             TargetId id,
             GrantEffect.Grant grant,
             long timeoutMillis,
@@ -113,7 +129,7 @@
                 grant.range(),
                 grant.fence(),
                 target(id).grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedAt));
-        arrive(id, timeoutMillis, result, target -> {
+        arrive(new Path(sender, id), timeoutMillis, result, target -> {
             if (grant.connection() == GrantEffect.Connection.ESTABLISHED
                     && !Objects.equals(establishedWith.get(id), target.incarnation())) {
                 answer(new GrantResult.NotSent(), 0, result);
@@ -135,9 +151,10 @@
         });
     }
 
-    void release(TargetId id, GrantEffect.Release release, long timeoutMillis, Consumer<GrantResult> result) {
+    void release(
+            String sender, TargetId id, GrantEffect.Release release, long timeoutMillis, Consumer<GrantResult> result) {
         arrive(
-                id,
+                new Path(sender, id),
                 timeoutMillis,
                 result,
                 target -> answer(
@@ -167,11 +184,10 @@
     }
 
     /** Delivers a call to the incarnation that runs when it arrives; with none, the connection is refused. */
-    private void arrive(
-            TargetId id, long timeoutMillis, Consumer<GrantResult> result, Consumer<SimulatedTarget> action) {
+    private void arrive(Path path, long timeoutMillis, Consumer<GrantResult> result, Consumer<SimulatedTarget> action) {
         time.after(ONE_WAY_MILLIS + random.nextInt(3), () -> {
-            SimulatedTarget target = target(id);
-            if (cutOff.contains(id)) {
+            SimulatedTarget target = target(path.target());
+            if (cutOff.contains(path.target()) || cutPaths.contains(path)) {
                 time.after(timeoutMillis, () -> result.accept(new GrantResult.Unknown()));
             } else if (target.up()) {
                 action.accept(target);
