--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -323,10 +323,11 @@
 
     private void grantorRoleChanged(MembershipEffect.GrantorRoleChanged changed) {
         LOG.info(
-                "event=grants_changed leading={} term={} predecessorEnded={}",
+                "event=grants_changed leading={} term={} predecessorEnded={} tables={}",
                 changed.leading(),
                 changed.term().map(GrantorTerm::revision).orElse(0L),
-                changed.predecessorEnded());
+                changed.predecessorEnded(),
+                tableRevisions);
         leading = changed.leading();
         predecessorEnded = changed.predecessorEnded();
         for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
