--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorTerm.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorTerm.java
@@ -7,5 +7,6 @@
  * @param holder the host
  * @param lease the id of the lease that the grantor's key is bound to
  * @param revision the revision of the grantor's key, which identifies the term
+ * @param formerGrantors the grantors of earlier terms that could renew grants when the term began
  */
-public record GrantorTerm(FleetMember holder, long lease, long revision) {}
+public record GrantorTerm(FleetMember holder, long lease, long revision, FormerGrantors formerGrantors) {}
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipEffect.java
@@ -42,9 +42,8 @@
      * Report that a term of this host as the grantor began or ended.
      *
      * @param term the term, empty if this host is not the grantor
-     * @param predecessorEnded whether the previous grantor is known to have ended, so that no other host renews grants
      */
-    record GrantorRoleChanged(Optional<GrantorTerm> term, boolean predecessorEnded) implements MembershipEffect {
+    record GrantorRoleChanged(Optional<GrantorTerm> term) implements MembershipEffect {
 
         public boolean leading() {
             return term.isPresent();
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -53,7 +53,6 @@
     private long grantorRevision;
     private Optional<FleetMember> lastGrantor = Optional.empty();
     private long lastGrantorRevision;
-    private boolean predecessorEnded;
     private long grantorAbsentSince = Long.MAX_VALUE;
     private boolean synced;
     /** The last term of this host that it knows of, which may have ended, and when its lease was last confirmed. */
@@ -277,9 +276,6 @@
             seekRoleNow(now);
         } else if (mayClaim(now)) {
             nextWriteAt = now + CALL_TIMEOUT_MILLIS;
-            predecessorEnded = lastGrantor
-                    .map(last -> last.host().equals(self.host()) || hasEnded(last))
-                    .orElse(true);
             effects.add(new MembershipEffect.ClaimGrantorRole(lease, self, grantorRevision, lastGrantorRevision));
         }
     }
@@ -337,7 +333,7 @@
         Optional<GrantorTerm> term = now < ownTermConfirmedAt + renewalGraceMillis ? ownTerm : Optional.empty();
         if (!term.equals(activeTerm)) {
             activeTerm = term;
-            effects.add(new MembershipEffect.GrantorRoleChanged(term, predecessorEnded));
+            effects.add(new MembershipEffect.GrantorRoleChanged(term));
         }
     }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -10,6 +10,7 @@
 import org.dragonflymux.core.balance.TargetDirectory;
 import org.dragonflymux.core.balance.TargetState;
 import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.shard.MoveProgress.Step;
@@ -20,7 +21,7 @@
  * on it, renews grants, and moves keys by a release, a handover and a grant under a higher fencing token.
  *
  * <p>An owner that cannot be reached keeps its keys until every grant that it may have received has expired, including
- * grants that a previous grantor without access to the store may still renew.
+ * grants that earlier grantors without access to the store may still renew.
  */
 public final class GrantStateMachine {
 
@@ -56,7 +57,7 @@
     private boolean leaseValid;
     private Set<Assignment> inheritedAssignments = Set.of();
     private long leadingSince;
-    private long predecessorRenewsUntil;
+    private long othersRenewUntil;
     private long nextPlanAt;
     private long writeOutstandingUntil = Long.MIN_VALUE;
     private long lastCallNumber;
@@ -98,15 +99,16 @@
     /**
      * Starts granting: this host has become the grantor.
      *
-     * @param predecessorEnded whether the previous grantor is known to have ended, so that no other host renews grants
+     * @param formerGrantors the earlier grantors that may still renew grants
+     * @param termKnownSince since when this host has known the record that names them
      */
-    public void startLeading(boolean predecessorEnded, long now) {
+    public void startLeading(FormerGrantors formerGrantors, long termKnownSince, long now) {
         if (leading) {
             return;
         }
         leading = true;
         leadingSince = now;
-        predecessorRenewsUntil = now + (predecessorEnded ? 0 : settings.renewalGraceMillis());
+        othersRenewUntil = termKnownSince + formerGrantors.renewForMillis();
         inheritedAssignments = new HashSet<>(table.assignments());
         grants.clear();
         moves.clear();
@@ -166,8 +168,7 @@
         return grants.computeIfAbsent(
                 target,
                 _ -> new TargetGrants(
-                        settings,
-                        predecessorRenewsUntil + settings.callTimeoutMillis() + settings.worstCaseHoldMillis()));
+                        settings, othersRenewUntil + settings.callTimeoutMillis() + settings.worstCaseHoldMillis()));
     }
 
     private boolean hasNewerIncarnation(TargetId id, long incarnation) {
@@ -290,7 +291,7 @@
         }
         TargetGrants owner = grantsOf(assignment.owner());
         boolean mustFenceOwner =
-                now < predecessorRenewsUntil || owner.hasUnconfirmedGrant(now) || owner.hasOutstandingCalls();
+                now < othersRenewUntil || owner.hasUnconfirmedGrant(now) || owner.hasOutstandingCalls();
         Step first = mustFenceOwner ? Step.FENCE_OWNER : Step.RELEASE;
         long expiresAt = Math.max(owner.heldUntil(), now);
         if (owner.hasOutstandingCalls()) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
@@ -24,7 +24,7 @@
     }
 
     private static Optional<GrantorTerm> term(FleetMember holder, long lease, long revision) {
-        return Optional.of(new GrantorTerm(holder, lease, revision));
+        return Optional.of(new GrantorTerm(holder, lease, revision, FormerGrantors.NONE));
     }
 
     private List<MembershipEffect> runFor(long millis) {
@@ -242,15 +242,18 @@
         }
 
         @Test
-        void has_no_predecessor_if_there_was_no_grantor() {
-            assertThat(elected(Optional.empty()))
-                    .isEqualTo(new MembershipEffect.GrantorRoleChanged(term(self, 7, 4), true));
-        }
-
-        @Test
-        void has_a_predecessor_that_may_still_run() {
-            assertThat(elected(Optional.of(member("a", 1))))
-                    .isEqualTo(new MembershipEffect.GrantorRoleChanged(term(self, 7, 4), false));
+        void begins_with_the_former_grantors_of_the_stored_term() {
+            FormerGrantors former = new FormerGrantors(List.of(new FormerGrantor(HostId.of("a"), 1, 9_000)), 0);
+            register();
+            machine.leaseRenewed(now);
+            machine.grantorChanged(Optional.of(new GrantorTerm(self, 7, 4, former)), 4, now);
+
+            assertThat(machine.tick(now).stream()
+                            .filter(MembershipEffect.GrantorRoleChanged.class::isInstance)
+                            .map(MembershipEffect.GrantorRoleChanged.class::cast)
+                            .flatMap(changed -> changed.term().stream())
+                            .map(GrantorTerm::formerGrantors))
+                    .containsExactly(former);
         }
 
         @Test
@@ -258,7 +261,7 @@
             elected(Optional.empty());
             now += RENEWAL_GRACE_MILLIS;
 
-            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(Optional.empty(), true));
+            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(Optional.empty()));
         }
 
         @Test
@@ -266,7 +269,7 @@
             elected(Optional.empty());
             machine.grantorChanged(term(member("a", 1), 70, 9), 9, now);
 
-            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(Optional.empty(), true));
+            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(Optional.empty()));
         }
 
         /** Guards against a host that renews grants by an outdated table after it obtained another lease. */
@@ -301,7 +304,7 @@
             machine.leaseObtained(8, now);
             machine.grantorChanged(term(self, 8, 9), 9, now);
 
-            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(term(self, 8, 9), true));
+            assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(term(self, 8, 9)));
             assertThat(machine.termConfirmed(now)).isTrue();
         }
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
@@ -8,6 +8,7 @@
 import org.dragonflymux.core.balance.TargetDirectory;
 import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
@@ -19,6 +20,7 @@
 
     private static final ServiceName SERVICE = ServiceName.of("orders");
     private static final GrantSettings SETTINGS = GrantSettings.forMaxHold(10_000);
+    private static final FormerGrantors ANY_HOST_RENEWS = FormerGrantors.unnamed(SETTINGS.renewalGraceMillis());
     private static final long START = 100_000;
     private static final KeyRange RANGE = new KeyRange(0, 99);
 
@@ -81,7 +83,7 @@
         @BeforeEach
         void startLeading() {
             machine.tableStored(table(ownedBy("a", 5)), 1);
-            machine.startLeading(true, now);
+            machine.startLeading(FormerGrantors.NONE, now, now);
         }
 
         @Test
@@ -137,9 +139,9 @@
     @Nested
     class Moving {
 
-        private List<GrantEffect> begin(boolean predecessorEnded) {
+        private List<GrantEffect> begin(FormerGrantors formerGrantors) {
             machine.tableStored(table(ownedBy("a", 5)), 1);
-            machine.startLeading(predecessorEnded, now);
+            machine.startLeading(formerGrantors, now, now);
             awaitCallsOfPredecessor();
             GrantEffect.Grant renewal = of(GrantEffect.Grant.class, tick()).getFirst();
             machine.callEnded(renewal.call(), new GrantResult.Done(Optional.empty()), now);
@@ -154,7 +156,7 @@
 
         @Test
         void releases_only_after_the_planned_move_is_stored() {
-            assertThat(of(GrantEffect.Release.class, begin(true)))
+            assertThat(of(GrantEffect.Release.class, begin(FormerGrantors.NONE)))
                     .extracting(GrantEffect.Release::target)
                     .containsExactly(TargetId.of("a"));
         }
@@ -162,7 +164,7 @@
         @Test
         void passes_the_handover_token_to_the_new_owner_under_a_higher_fence() {
             GrantEffect.Release release =
-                    of(GrantEffect.Release.class, begin(true)).getFirst();
+                    of(GrantEffect.Release.class, begin(FormerGrantors.NONE)).getFirst();
 
             List<GrantEffect> after =
                     machine.callEnded(release.call(), new GrantResult.Done(Optional.of("token")), now);
@@ -175,7 +177,7 @@
 
         @Test
         void fences_the_old_owner_again_while_a_predecessor_may_still_renew() {
-            List<GrantEffect> first = begin(false);
+            List<GrantEffect> first = begin(ANY_HOST_RENEWS);
 
             assertThat(of(GrantEffect.Release.class, first)).isEmpty();
             GrantEffect.Grant fencing = of(GrantEffect.Grant.class, first).getFirst();
@@ -187,7 +189,7 @@
         @Test
         void does_not_continue_without_a_confirmed_lease() {
             machine.tableStored(table(movingTo("a", 5, "b", 9)), 1);
-            machine.startLeading(true, now);
+            machine.startLeading(FormerGrantors.NONE, now, now);
             now += 1_000;
 
             assertThat(machine.tick(false, now)).isEmpty();
@@ -223,16 +225,26 @@
         @Test
         void keeps_its_keys_until_the_last_grant_has_expired() {
             machine.tableStored(table(ownedBy("a", 5)), 1);
-            machine.startLeading(true, now);
+            machine.startLeading(FormerGrantors.NONE, now, now);
 
             assertThat(grantedToOther(failEveryCall(SETTINGS.holdMillis()))).isFalse();
             assertThat(grantedToOther(failEveryCall(6_000))).isTrue();
         }
 
+        /** Guards against a service that was added late in a term and waits anew for what has ended. */
+        @Test
+        void keeps_its_keys_for_as_long_as_if_granting_had_begun_with_the_term() {
+            machine.tableStored(table(ownedBy("a", 5)), 1);
+            machine.startLeading(ANY_HOST_RENEWS, now - 60_000, now);
+
+            assertThat(grantedToOther(failEveryCall(SETTINGS.holdMillis()))).isFalse();
+            assertThat(grantedToOther(failEveryCall(3_000))).isTrue();
+        }
+
         @Test
         void keeps_its_keys_longer_if_a_predecessor_may_still_renew() {
             machine.tableStored(table(ownedBy("a", 5)), 1);
-            machine.startLeading(false, now);
+            machine.startLeading(ANY_HOST_RENEWS, now, now);
 
             assertThat(grantedToOther(failEveryCall(SETTINGS.renewalGraceMillis())))
                     .isFalse();
@@ -248,7 +260,7 @@
 
         private List<GrantEffect> moveBegins(GrantResult lastRenewal) {
             machine.tableStored(table(ownedBy("a", 5)), 1);
-            machine.startLeading(true, now);
+            machine.startLeading(FormerGrantors.NONE, now, now);
             awaitCallsOfPredecessor();
             GrantEffect.Grant renewal = of(GrantEffect.Grant.class, tick()).getFirst();
             machine.callEnded(renewal.call(), lastRenewal, now);
@@ -317,7 +329,7 @@
         @Test
         void gets_its_keys_again_at_once_under_a_higher_fence() {
             machine.tableStored(table(movingTo("a", 5, "a", 9)), 1);
-            machine.startLeading(true, now);
+            machine.startLeading(FormerGrantors.NONE, now, now);
             restartOwner(2);
 
             assertThat(of(GrantEffect.Grant.class, tick()))
@@ -333,7 +345,7 @@
         @Test
         void may_still_be_carried_out_so_the_old_owner_is_fenced_before_a_release() {
             machine.tableStored(table(ownedBy("a", 5)), 1);
-            machine.startLeading(true, now);
+            machine.startLeading(FormerGrantors.NONE, now, now);
             now += 500;
             GrantEffect.Grant renewal = of(GrantEffect.Grant.class, tick()).getFirst();
             machine.callEnded(renewal.call(), new GrantResult.Done(Optional.empty()), now);
@@ -354,7 +366,7 @@
         @Test
         void is_resumed_by_a_release_without_another_grant_to_the_old_owner() {
             machine.tableStored(table(movingTo("a", 5, "b", 9)), 1);
-            machine.startLeading(false, now);
+            machine.startLeading(ANY_HOST_RENEWS, now, now);
 
             List<GrantEffect> effects = runFor(1_000);
 
@@ -368,11 +380,11 @@
         @Test
         void is_resumed_under_a_higher_token_than_that_of_any_grant_to_the_old_owner() {
             machine.tableStored(table(ownedBy("a", 5)), 1);
-            machine.startLeading(false, now);
+            machine.startLeading(ANY_HOST_RENEWS, now, now);
             machine.tableStored(table(movingTo("a", 5, "b", 9)), 2);
             GrantEffect.Grant fencing = of(GrantEffect.Grant.class, runFor(100)).getFirst();
             machine.stopLeading();
-            machine.startLeading(true, now);
+            machine.startLeading(FormerGrantors.NONE, now, now);
 
             GrantEffect.Release release =
                     of(GrantEffect.Release.class, runFor(1_000)).getFirst();
@@ -383,7 +395,7 @@
 
     @Test
     void the_initial_table_is_written_after_targets_had_time_to_register() {
-        machine.startLeading(true, now);
+        machine.startLeading(FormerGrantors.NONE, now, now);
         assertThat(of(GrantEffect.Persist.class, runFor(1_000))).isEmpty();
 
         assertThat(of(GrantEffect.Persist.class, runFor(1_000)))
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -15,6 +15,8 @@
 import org.dragonflymux.core.desired.DesiredState;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.FormerGrantors;
+import org.dragonflymux.core.membership.GrantorSuccession;
 import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.membership.MembershipEffect;
 import org.dragonflymux.core.membership.MembershipStateMachine;
@@ -39,10 +41,12 @@
 
     private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
     private static final long RELEASE_TIMEOUT_MILLIS = 4_000;
+    private static final long TERM_UPDATE_INTERVAL_MILLIS = 3_000;
 
     private final StoreClient store;
     private final GrantClient grantClient;
     private final MembershipStateMachine membership;
+    private final GrantorSuccession succession;
     private final LenderElection lenderElection;
     private final GrantSettings settings;
     private final TargetDirectory directory;
@@ -52,13 +56,14 @@
     private final Map<ServiceName, GrantStateMachine> grantStateMachines = new HashMap<>();
     private final RevisionCache<Optional<FleetMember>> members =
             RevisionCache.of(item -> FleetRecords.member(item.value()));
-    private final RevisionCache<Optional<GrantorTerm>> grantorRecord = RevisionCache.of(FleetRecords::grantorTerm);
+    private final RevisionCache<Optional<GrantorTerm>> termRecords = RevisionCache.of(FleetRecords::grantorTerm);
     private final RevisionCache<Optional<LenderPartition>> lenderPartitionRecords =
             RevisionCache.of(FleetRecords::lenderPartition);
     private final Map<ServiceName, Long> tableRevisions = new HashMap<>();
     private Map<HostId, FleetMember> reportedHosts = Map.of();
-    private boolean leading;
-    private boolean predecessorEnded;
+    private Optional<GrantorTerm> activeTerm = Optional.empty();
+    private long activeTermKnownSince;
+    private long nextTermUpdateAt = Long.MIN_VALUE;
     private boolean collectsReports;
 
     /** Receives the state that the control loop reads from the store. */
@@ -89,6 +94,7 @@
         this.store = store;
         this.grantClient = grantClient;
         this.membership = membership;
+        this.succession = GrantorSuccession.of(membership.self(), settings.renewalGraceMillis());
         this.lenderElection = LenderElection.of(membership.self());
         this.settings = settings;
         this.directory = directory;
@@ -117,9 +123,7 @@
                 if (existing == null) {
                     GrantStateMachine grantStateMachine = GrantStateMachine.of(spec, settings, directory);
                     grantStateMachines.put(spec.name(), grantStateMachine);
-                    if (leading) {
-                        grantStateMachine.startLeading(predecessorEnded, holdClock.nowMillis());
-                    }
+                    startLeading(grantStateMachine);
                 } else {
                     existing.updateSpec(spec);
                 }
@@ -151,18 +155,19 @@
             }
         }
         members.retain(items.keySet());
-        grantorRecord.retain(items.keySet());
+        termRecords.retain(items.keySet());
         lenderPartitionRecords.retain(items.keySet());
         for (HostId host : List.copyOf(membership.members().keySet())) {
             if (!registered.contains(host)) {
                 membership.memberRemoved(host);
             }
         }
-        membership.lastGrantorChanged(
-                lastGrantor.flatMap(members::read),
-                lastGrantor.map(StoredItem::revision).orElse(0L));
+        Optional<GrantorTerm> lastTerm = lastGrantor.flatMap(termRecords::read);
+        long lastTermRevision = lastGrantor.map(StoredItem::revision).orElse(0L);
+        membership.lastGrantorChanged(lastTerm.map(GrantorTerm::holder), lastTermRevision);
+        succession.lastTermChanged(lastTerm, lastTermRevision, holdClock.nowMillis());
         membership.grantorChanged(
-                grantor.flatMap(grantorRecord::read),
+                grantor.flatMap(termRecords::read),
                 grantor.map(StoredItem::revision).orElse(0L),
                 now);
         membership.synced(now);
@@ -195,7 +200,7 @@
 
     /** Records that requests for keys arrived at any host. */
     public void recordKeyRequests(Map<ServiceName, int[]> keys) {
-        if (!leading) {
+        if (!leading()) {
             return;
         }
         long now = holdClock.nowMillis();
@@ -229,6 +234,9 @@
         if (confirmed && membership.mayClaimLenderPartitions()) {
             claimLenderPartitions(now);
         }
+        if (membership.termConfirmed(now)) {
+            activeTerm.ifPresent(term -> updateTermRecord(term, now));
+        }
         for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
             tick(grantStateMachine);
         }
@@ -259,7 +267,8 @@
                                 FleetRecords.encode(register.record()),
                                 register.lease())));
             case MembershipEffect.ClaimGrantorRole claim -> {
-                byte[] record = FleetRecords.encodeHolder(claim.record(), claim.lease());
+                FormerGrantors formerGrantors = succession.formerGrantors(membership.members(), holdClock.nowMillis());
+                byte[] record = FleetRecords.encodeTerm(claim.record(), claim.lease(), formerGrantors);
                 write(
                         List.of(
                                 new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, claim.expectedRevision()),
@@ -298,7 +307,7 @@
             lenderElection.claimEnded(now);
             return;
         }
-        byte[] record = FleetRecords.encodeHolder(membership.self(), membership.lease());
+        byte[] record = FleetRecords.encodeLender(membership.self(), membership.lease());
         List<StoreClient.ExpectedRevision> expected = new ArrayList<>();
         List<StoreClient.Put> puts = new ArrayList<>();
         for (LenderElection.Claim claim : claims) {
@@ -323,19 +332,37 @@
 
     private void grantorRoleChanged(MembershipEffect.GrantorRoleChanged changed) {
         LOG.info(
-                "event=grants_changed leading={} term={} predecessorEnded={} tables={}",
+                "event=grants_changed leading={} term={} formerGrantors={} tables={}",
                 changed.leading(),
                 changed.term().map(GrantorTerm::revision).orElse(0L),
-                changed.predecessorEnded(),
+                changed.term().map(GrantorTerm::formerGrantors).orElse(FormerGrantors.NONE),
                 tableRevisions);
-        leading = changed.leading();
-        predecessorEnded = changed.predecessorEnded();
+        activeTerm = changed.term();
+        activeTermKnownSince = holdClock.nowMillis();
         for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
             grantStateMachine.stopLeading();
-            if (leading) {
-                grantStateMachine.startLeading(predecessorEnded, holdClock.nowMillis());
-            }
+            startLeading(grantStateMachine);
+        }
+    }
+
+    private void startLeading(GrantStateMachine grantStateMachine) {
+        activeTerm.ifPresent(term ->
+                grantStateMachine.startLeading(term.formerGrantors(), activeTermKnownSince, holdClock.nowMillis()));
+    }
+
+    /** Removes former grantors that have ended from the record of this host's term, for hosts that start later. */
+    private void updateTermRecord(GrantorTerm term, long now) {
+        if (now < nextTermUpdateAt || !succession.namesOnlyEndedGrantors(term, holdClock.nowMillis())) {
+            return;
         }
+        nextTermUpdateAt = now + TERM_UPDATE_INTERVAL_MILLIS;
+        byte[] record = FleetRecords.encodeTerm(term.holder(), term.lease(), FormerGrantors.NONE);
+        store.commit(
+                List.of(
+                        new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, term.revision()),
+                        new StoreClient.ExpectedRevision(FleetRecords.LAST_GRANTOR_KEY, term.revision())),
+                List.of(new StoreClient.Put(FleetRecords.LAST_GRANTOR_KEY, record, 0)),
+                result -> LOG.info("event=term_record_updated term={} result={}", term.revision(), result));
     }
 
     private void run(GrantStateMachine grantStateMachine, List<GrantEffect> effects) {
@@ -400,7 +427,7 @@
         membership.stopping();
         listener.leaseUpdated(membership.lease(), membership.leaseValidUntil());
         grantStateMachines.values().forEach(GrantStateMachine::stopLeading);
-        leading = false;
+        activeTerm = Optional.empty();
         if (membership.lease() != 0) {
             store.endLease(membership.lease(), result -> LOG.info("event=lease_given_back done={}", result.isRight()));
         }
@@ -412,10 +439,10 @@
 
     /** Returns whether this host grants keys or is not registered yet, so that its effects must not be delayed. */
     public boolean busy() {
-        return leading || !membership.registered();
+        return leading() || !membership.registered();
     }
 
     public boolean leading() {
-        return leading;
+        return activeTerm.isPresent();
     }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
@@ -3,16 +3,22 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.FormerGrantor;
+import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.InvalidNameException;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.quota.LenderPartition;
+import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.gateway.SocketAddresses;
 import org.dragonflymux.gateway.store.StoredItem;
 
@@ -74,11 +80,24 @@
                 .put("peer", member.peerAddress());
     }
 
-    /** Encodes the holder of a role and the lease that the record is bound to. */
-    public static byte[] encodeHolder(FleetMember holder, long lease) {
+    /** Encodes the holder of a lender partition and the lease that the record is bound to. */
+    public static byte[] encodeLender(FleetMember holder, long lease) {
         return serialize(toJson(holder).put("lease", lease));
     }
 
+    /** Encodes a term of a grantor; its revision is that of the write. */
+    public static byte[] encodeTerm(FleetMember holder, long lease, FormerGrantors formerGrantors) {
+        ObjectNode record = toJson(holder).put("lease", lease).put("unnamedMillis", formerGrantors.unnamedMillis());
+        ArrayNode named = record.putArray("formerGrantors");
+        for (FormerGrantor former : formerGrantors.named()) {
+            named.addObject()
+                    .put("host", former.host().value())
+                    .put("incarnation", former.incarnation())
+                    .put("renewsForMillis", former.renewsForMillis());
+        }
+        return serialize(record);
+    }
+
     /** Decodes the record of a lender partition; empty if the item is not a valid one. */
     public static Optional<LenderPartition> lenderPartition(StoredItem item) {
         try {
@@ -93,13 +112,35 @@
     /** Decodes the grantor's record; empty if the item is not a valid one. */
     public static Optional<GrantorTerm> grantorTerm(StoredItem item) {
         try {
-            long lease = lease(item.value());
-            return member(item.value()).map(holder -> new GrantorTerm(holder, lease, item.revision()));
-        } catch (IOException unreadable) {
+            JsonNode node = JSON.readTree(item.value());
+            FormerGrantors formerGrantors = formerGrantors(node);
+            long lease = node.path("lease").asLong();
+            return member(item.value()).map(holder -> new GrantorTerm(holder, lease, item.revision(), formerGrantors));
+        } catch (IOException | InvalidNameException unreadable) {
             return Optional.empty();
         }
     }
 
+    /** Reads the former grantors of a term. A host of an earlier version writes none, so that any host may be one. */
+    private static FormerGrantors formerGrantors(JsonNode term) {
+        if (!term.path("formerGrantors").isArray()
+                || !term.path("unnamedMillis").canConvertToLong()) {
+            return FormerGrantors.unnamed(GrantSettings.RENEWAL_GRACE_MILLIS);
+        }
+        List<FormerGrantor> named = new ArrayList<>();
+        for (JsonNode former : term.path("formerGrantors")) {
+            named.add(new FormerGrantor(
+                    HostId.of(former.path("host").asText()),
+                    former.path("incarnation").asLong(),
+                    renewalMillis(former.path("renewsForMillis"))));
+        }
+        return new FormerGrantors(named, renewalMillis(term.path("unnamedMillis")));
+    }
+
+    private static long renewalMillis(JsonNode millis) {
+        return Math.clamp(millis.asLong(GrantSettings.RENEWAL_GRACE_MILLIS), 0, GrantSettings.RENEWAL_GRACE_MILLIS);
+    }
+
     private static long lease(byte[] record) throws IOException {
         return JSON.readTree(record).path("lease").asLong();
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
@@ -3,14 +3,19 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.FormerGrantor;
+import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.gateway.store.StoredItem;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against hosts that stop following the store because another writer left an odd record among their own. */
@@ -26,12 +31,37 @@
 
     @Test
     void a_grantor_is_decoded_with_the_lease_and_revision_of_its_term() {
-        StoredItem item = new StoredItem(FleetRecords.GRANTOR_KEY, FleetRecords.encodeHolder(MEMBER, 3), 12);
+        FormerGrantors former = new FormerGrantors(List.of(new FormerGrantor(HostId.of("front-2"), 8, 4_500)), 300);
+        StoredItem item = new StoredItem(FleetRecords.GRANTOR_KEY, FleetRecords.encodeTerm(MEMBER, 3, former), 12);
 
-        assertThat(FleetRecords.grantorTerm(item)).contains(new GrantorTerm(MEMBER, 3, 12));
+        assertThat(FleetRecords.grantorTerm(item)).contains(new GrantorTerm(MEMBER, 3, 12, former));
         assertThat(FleetRecords.member(item.value())).contains(MEMBER);
     }
 
+    /** Guards against a grantor that waits for nobody, since a host of an earlier version was the grantor before it. */
+    @Test
+    void any_host_may_renew_after_a_term_whose_record_names_no_former_grantors() {
+        StoredItem item = new StoredItem(FleetRecords.GRANTOR_KEY, FleetRecords.encodeLender(MEMBER, 3), 12);
+
+        assertThat(FleetRecords.grantorTerm(item).map(GrantorTerm::formerGrantors))
+                .contains(FormerGrantors.unnamed(GrantSettings.RENEWAL_GRACE_MILLIS));
+    }
+
+    /** Guards against a service whose keys never move, since an odd record promises renewals for years. */
+    @ParameterizedTest
+    @CsvSource({"-5, 0", "9000000000000000000, 10000", "\"soon\", 10000"})
+    void no_former_grantor_renews_for_longer_than_the_grace_period(String written, long read) {
+        String record =
+                "{\"host\":\"front-1\",\"incarnation\":7,\"domain\":\"east\",\"peer\":\"127.0.0.1:80\",\"lease\":3,"
+                        + "\"unnamedMillis\":0,\"formerGrantors\":[{\"host\":\"front-2\",\"incarnation\":8,\"renewsForMillis\":"
+                        + written + "}]}";
+        StoredItem item = new StoredItem(FleetRecords.GRANTOR_KEY, record.getBytes(StandardCharsets.UTF_8), 12);
+
+        assertThat(FleetRecords.grantorTerm(item)
+                        .map(term -> term.formerGrantors().renewForMillis()))
+                .contains(read);
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -57,7 +87,7 @@
 
     @Test
     void a_record_under_an_odd_key_is_ignored() {
-        byte[] record = FleetRecords.encodeHolder(MEMBER, 3);
+        byte[] record = FleetRecords.encodeLender(MEMBER, 3);
 
         assertThat(FleetRecords.lenderPartition(
                         new StoredItem(FleetRecords.LENDER_PARTITION_PREFIX + "one", record, 1)))
