--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,6 @@
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.balance.TargetDirectory;
 import org.dragonflymux.core.desired.DesiredState;
-import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.membership.GrantorSuccession;
@@ -24,10 +22,7 @@
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.quota.LenderElection;
 import org.dragonflymux.core.quota.LenderPartition;
-import org.dragonflymux.core.shard.GrantEffect;
-import org.dragonflymux.core.shard.GrantResult;
 import org.dragonflymux.core.shard.GrantSettings;
-import org.dragonflymux.core.shard.GrantStateMachine;
 import org.dragonflymux.core.shard.ShardTable;
 import org.dragonflymux.gateway.clock.HoldClock;
 import org.dragonflymux.gateway.clock.LeaseClock;
@@ -36,33 +31,29 @@
 import org.dragonflymux.gateway.store.StoreError;
 import org.dragonflymux.gateway.store.StoredItem;
 
-/** Carries out the effects of the membership and grant state machines, and passes the results back to them. */
+/**
+ * Carries out the effects of the membership state machine and passes the results back to it. It hands what concerns shard
+ * keys on to the {@link GrantLoop}.
+ */
 public final class ControlLoop {
 
     private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
-    private static final long RELEASE_TIMEOUT_MILLIS = 4_000;
     private static final long TERM_UPDATE_INTERVAL_MILLIS = 3_000;
 
     private final StoreClient store;
-    private final GrantClient grantClient;
     private final MembershipStateMachine membership;
     private final GrantorSuccession succession;
     private final LenderElection lenderElection;
-    private final GrantSettings settings;
-    private final TargetDirectory directory;
+    private final GrantLoop grants;
     private final LeaseClock leaseClock;
     private final HoldClock holdClock;
     private final Listener listener;
-    private final Map<ServiceName, GrantStateMachine> grantStateMachines = new HashMap<>();
     private final RevisionCache<Optional<FleetMember>> members =
             RevisionCache.of(item -> FleetRecords.member(item.value()));
     private final RevisionCache<Optional<GrantorTerm>> termRecords = RevisionCache.of(FleetRecords::grantorTerm);
     private final RevisionCache<Optional<LenderPartition>> lenderPartitionRecords =
             RevisionCache.of(FleetRecords::lenderPartition);
-    private final Map<ServiceName, Long> tableRevisions = new HashMap<>();
     private Map<HostId, FleetMember> reportedHosts = Map.of();
-    private Optional<GrantorTerm> activeTerm = Optional.empty();
-    private long activeTermKnownSince;
     private long nextTermUpdateAt = Long.MIN_VALUE;
     private boolean collectsReports;
 
@@ -84,20 +75,17 @@
 
     private ControlLoop(
             StoreClient store,
-            GrantClient grantClient,
             MembershipStateMachine membership,
-            GrantSettings settings,
-            TargetDirectory directory,
+            GrantorSuccession succession,
+            GrantLoop grants,
             LeaseClock leaseClock,
             HoldClock holdClock,
             Listener listener) {
         this.store = store;
-        this.grantClient = grantClient;
         this.membership = membership;
-        this.succession = GrantorSuccession.of(membership.self(), settings.renewalGraceMillis());
+        this.succession = succession;
         this.lenderElection = LenderElection.of(membership.self());
-        this.settings = settings;
-        this.directory = directory;
+        this.grants = grants;
         this.leaseClock = leaseClock;
         this.holdClock = holdClock;
         this.listener = listener;
@@ -112,23 +100,15 @@
             LeaseClock leaseClock,
             HoldClock holdClock,
             Listener listener) {
-        return new ControlLoop(store, grantClient, membership, settings, directory, leaseClock, holdClock, listener);
+        GrantorSuccession succession = GrantorSuccession.of(membership.self(), settings.renewalGraceMillis());
+        GrantLoop grants = new GrantLoop(
+                store, grantClient, membership, settings, directory, leaseClock, holdClock, listener::tableChanged);
+        return new ControlLoop(store, membership, succession, grants, leaseClock, holdClock, listener);
     }
 
     /** Handles a new desired state. */
     public void desiredStateChanged(DesiredState state) {
-        for (ServiceSpec spec : state.services().values()) {
-            if (spec.sharded()) {
-                GrantStateMachine existing = grantStateMachines.get(spec.name());
-                if (existing == null) {
-                    GrantStateMachine grantStateMachine = GrantStateMachine.of(spec, settings, directory);
-                    grantStateMachines.put(spec.name(), grantStateMachine);
-                    startLeading(grantStateMachine);
-                } else {
-                    existing.updateSpec(spec);
-                }
-            }
-        }
+        grants.desiredStateChanged(state);
     }
 
     /** Handles a change of the gateway's own records; the map holds all items of the store. */
@@ -151,7 +131,7 @@
             } else if (item.key().startsWith(FleetRecords.LENDER_PARTITION_PREFIX)) {
                 lenderPartitionRecords.read(item).ifPresent(lenderPartitions::add);
             } else if (item.key().startsWith(FleetRecords.TABLE_PREFIX)) {
-                FleetRecords.serviceOfTable(item.key()).ifPresent(service -> applyTable(service, item));
+                FleetRecords.serviceOfTable(item.key()).ifPresent(service -> grants.tableRead(service, item));
             }
         }
         members.retain(items.keySet());
@@ -179,37 +159,9 @@
         listener.lenderPartitionsChanged(lenderPartitions);
     }
 
-    private void applyTable(ServiceName service, StoredItem item) {
-        if (tableRevisions.getOrDefault(service, 0L) >= item.revision()) {
-            return;
-        }
-        TableCodec.decode(item.value())
-                .ifPresentOrElse(
-                        table -> applyTable(service, table, item.revision()),
-                        () -> LOG.warn("event=table_unreadable service={} revision={}", service, item.revision()));
-    }
-
-    private void applyTable(ServiceName service, ShardTable table, long revision) {
-        tableRevisions.put(service, revision);
-        GrantStateMachine grantStateMachine = grantStateMachines.get(service);
-        if (grantStateMachine != null) {
-            grantStateMachine.tableStored(table, revision);
-        }
-        listener.tableChanged(service, table);
-    }
-
     /** Records that requests for keys arrived at any host. */
     public void recordKeyRequests(Map<ServiceName, int[]> keys) {
-        if (!leading()) {
-            return;
-        }
-        long now = holdClock.nowMillis();
-        keys.forEach((service, serviceKeys) -> {
-            GrantStateMachine grantStateMachine = grantStateMachines.get(service);
-            for (int i = 0; grantStateMachine != null && i < serviceKeys.length; i++) {
-                grantStateMachine.recordRequest(serviceKeys[i], now);
-            }
-        });
+        grants.recordKeyRequests(keys);
     }
 
     /** Sets whether this host collects the reports of other hosts. */
@@ -235,16 +187,9 @@
             claimLenderPartitions(now);
         }
         if (membership.termConfirmed(now)) {
-            activeTerm.ifPresent(term -> updateTermRecord(term, now));
-        }
-        for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
-            tick(grantStateMachine);
+            grants.term().ifPresent(term -> updateTermRecord(term, now));
         }
-    }
-
-    private void tick(GrantStateMachine grantStateMachine) {
-        boolean termConfirmed = membership.termConfirmed(leaseClock.nowMillis());
-        run(grantStateMachine, grantStateMachine.tick(termConfirmed, holdClock.nowMillis()));
+        grants.tick();
     }
 
     private void run(MembershipEffect effect, long now) {
@@ -278,7 +223,7 @@
                                 new StoreClient.Put(FleetRecords.GRANTOR_KEY, record, claim.lease()),
                                 new StoreClient.Put(FleetRecords.LAST_GRANTOR_KEY, record, 0)));
             }
-            case MembershipEffect.GrantorRoleChanged changed -> grantorRoleChanged(changed);
+            case MembershipEffect.GrantorRoleChanged changed -> grants.termChanged(changed.term());
         }
     }
 
@@ -330,26 +275,6 @@
         });
     }
 
-    private void grantorRoleChanged(MembershipEffect.GrantorRoleChanged changed) {
-        LOG.info(
-                "event=grants_changed leading={} term={} formerGrantors={} tables={}",
-                changed.leading(),
-                changed.term().map(GrantorTerm::revision).orElse(0L),
-                changed.term().map(GrantorTerm::formerGrantors).orElse(FormerGrantors.NONE),
-                tableRevisions);
-        activeTerm = changed.term();
-        activeTermKnownSince = holdClock.nowMillis();
-        for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
-            grantStateMachine.stopLeading();
-            startLeading(grantStateMachine);
-        }
-    }
-
-    private void startLeading(GrantStateMachine grantStateMachine) {
-        activeTerm.ifPresent(term ->
-                grantStateMachine.startLeading(term.formerGrantors(), activeTermKnownSince, holdClock.nowMillis()));
-    }
-
     /** Removes former grantors that have ended from the record of this host's term, for hosts that start later. */
     private void updateTermRecord(GrantorTerm term, long now) {
         if (now < nextTermUpdateAt || !succession.namesOnlyEndedGrantors(term, holdClock.nowMillis())) {
@@ -365,69 +290,11 @@
                 result -> LOG.info("event=term_record_updated term={} result={}", term.revision(), result));
     }
 
-    private void run(GrantStateMachine grantStateMachine, List<GrantEffect> effects) {
-        for (GrantEffect effect : effects) {
-            switch (effect) {
-                case GrantEffect.Persist persist -> persist(grantStateMachine, persist);
-                case GrantEffect.Grant grant ->
-                    directory
-                            .target(grant.target())
-                            .ifPresentOrElse(
-                                    target -> grantClient.grant(
-                                            target.entry(), grant, settings.callTimeoutMillis(), result -> {
-                                                logUnlessDone(grant, result);
-                                                callEnded(grantStateMachine, grant.call(), result);
-                                            }),
-                                    () -> callEnded(grantStateMachine, grant.call(), new GrantResult.NotSent()));
-                case GrantEffect.Release release ->
-                    directory
-                            .target(release.target())
-                            .ifPresentOrElse(
-                                    target -> grantClient.release(
-                                            target.entry(), release, RELEASE_TIMEOUT_MILLIS, result -> {
-                                                LOG.info("event=keys_released release={} result={}", release, result);
-                                                callEnded(grantStateMachine, release.call(), result);
-                                            }),
-                                    () -> callEnded(grantStateMachine, release.call(), new GrantResult.NotSent()));
-            }
-        }
-    }
-
-    private static void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
-        if (!(result instanceof GrantResult.Done)) {
-            LOG.info("event=grant_failed grant={} result={}", grant, result);
-        }
-    }
-
-    private void callEnded(GrantStateMachine grantStateMachine, long call, GrantResult result) {
-        run(grantStateMachine, grantStateMachine.callEnded(call, result, holdClock.nowMillis()));
-    }
-
-    private void persist(GrantStateMachine grantStateMachine, GrantEffect.Persist persist) {
-        persist.table().assignments().stream()
-                .filter(assignment -> assignment.move().isPresent())
-                .forEach(assignment -> LOG.info("event=move_planned assignment={}", assignment));
-        String key = FleetRecords.tableKey(persist.service());
-        long term = membership.activeTerm().map(GrantorTerm::revision).orElseThrow();
-        List<StoreClient.ExpectedRevision> expected = List.of(
-                new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, term),
-                new StoreClient.ExpectedRevision(key, persist.expectedRevision()));
-        store.commit(expected, List.of(new StoreClient.Put(key, TableCodec.encode(persist.table()), 0)), result -> {
-            if (result.isRight()) {
-                applyTable(persist.service(), persist.table(), result.get());
-                tick(grantStateMachine);
-            } else if (result.getLeft() != StoreError.UNKNOWN) {
-                grantStateMachine.writeFailed();
-            }
-        });
-    }
-
     /** Stops granting and ends the lease, so that another host can take over immediately. */
     public void stop() {
         membership.stopping();
         listener.leaseUpdated(membership.lease(), membership.leaseValidUntil());
-        grantStateMachines.values().forEach(GrantStateMachine::stopLeading);
-        activeTerm = Optional.empty();
+        grants.stop();
         if (membership.lease() != 0) {
             store.endLease(membership.lease(), result -> LOG.info("event=lease_given_back done={}", result.isRight()));
         }
@@ -443,6 +310,6 @@
     }
 
     public boolean leading() {
-        return activeTerm.isPresent();
+        return grants.term().isPresent();
     }
 }
--- /dev/null
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -0,0 +1,223 @@
+package org.dragonflymux.gateway.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflymux.core.balance.TargetDirectory;
+import org.dragonflymux.core.desired.DesiredState;
+import org.dragonflymux.core.desired.ServiceSpec;
+import org.dragonflymux.core.membership.FormerGrantors;
+import org.dragonflymux.core.membership.GrantorTerm;
+import org.dragonflymux.core.membership.MembershipStateMachine;
+import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.shard.GrantEffect;
+import org.dragonflymux.core.shard.GrantResult;
+import org.dragonflymux.core.shard.GrantSettings;
+import org.dragonflymux.core.shard.GrantStateMachine;
+import org.dragonflymux.core.shard.ShardTable;
+import org.dragonflymux.gateway.clock.HoldClock;
+import org.dragonflymux.gateway.clock.LeaseClock;
+import org.dragonflymux.gateway.store.StoreClient;
+import org.dragonflymux.gateway.store.StoreError;
+import org.dragonflymux.gateway.store.StoredItem;
+
+/**
+ * Carries out the effects of the grant state machines of all services with shard keys while this host is the grantor, and
+ * passes the results back to them.
+ */
+final class GrantLoop {
+
+    private static final Logger LOG = LogManager.getLogger(GrantLoop.class);
+    private static final long RELEASE_TIMEOUT_MILLIS = 4_000;
+
+    private final StoreClient store;
+    private final GrantClient grantClient;
+    private final MembershipStateMachine membership;
+    private final GrantSettings settings;
+    private final TargetDirectory directory;
+    private final LeaseClock leaseClock;
+    private final HoldClock holdClock;
+    private final BiConsumer<ServiceName, ShardTable> tableListener;
+    private final Map<ServiceName, GrantStateMachine> grantStateMachines = new HashMap<>();
+    private final Map<ServiceName, Long> tableRevisions = new HashMap<>();
+    private Optional<GrantorTerm> term = Optional.empty();
+    private long termKnownSince;
+
+    /**
+     * Creates the loop of a host that is not the grantor.
+     *
+     * @param membership tells whether the term of this host is known to be valid in the store
+     * @param tableListener receives each new table of a service
+     */
+    GrantLoop(
+            StoreClient store,
+            GrantClient grantClient,
+            MembershipStateMachine membership,
+            GrantSettings settings,
+            TargetDirectory directory,
+            LeaseClock leaseClock,
+            HoldClock holdClock,
+            BiConsumer<ServiceName, ShardTable> tableListener) {
+        this.store = store;
+        this.grantClient = grantClient;
+        this.membership = membership;
+        this.settings = settings;
+        this.directory = directory;
+        this.leaseClock = leaseClock;
+        this.holdClock = holdClock;
+        this.tableListener = tableListener;
+    }
+
+    /** Handles a new desired state, which may add services. */
+    void desiredStateChanged(DesiredState state) {
+        for (ServiceSpec spec : state.services().values()) {
+            if (spec.sharded()) {
+                GrantStateMachine existing = grantStateMachines.get(spec.name());
+                if (existing == null) {
+                    GrantStateMachine grantStateMachine = GrantStateMachine.of(spec, settings, directory);
+                    grantStateMachines.put(spec.name(), grantStateMachine);
+                    startLeading(grantStateMachine);
+                } else {
+                    existing.updateSpec(spec);
+                }
+            }
+        }
+    }
+
+    /** Handles the stored table of a service. */
+    void tableRead(ServiceName service, StoredItem item) {
+        if (tableRevisions.getOrDefault(service, 0L) >= item.revision()) {
+            return;
+        }
+        TableCodec.decode(item.value())
+                .ifPresentOrElse(
+                        table -> applyTable(service, table, item.revision()),
+                        () -> LOG.warn("event=table_unreadable service={} revision={}", service, item.revision()));
+    }
+
+    private void applyTable(ServiceName service, ShardTable table, long revision) {
+        tableRevisions.put(service, revision);
+        GrantStateMachine grantStateMachine = grantStateMachines.get(service);
+        if (grantStateMachine != null) {
+            grantStateMachine.tableStored(table, revision);
+        }
+        tableListener.accept(service, table);
+    }
+
+    /** Records that requests for keys arrived at any host. */
+    void recordKeyRequests(Map<ServiceName, int[]> keys) {
+        if (term.isEmpty()) {
+            return;
+        }
+        long now = holdClock.nowMillis();
+        keys.forEach((service, serviceKeys) -> {
+            GrantStateMachine grantStateMachine = grantStateMachines.get(service);
+            for (int i = 0; grantStateMachine != null && i < serviceKeys.length; i++) {
+                grantStateMachine.recordRequest(serviceKeys[i], now);
+            }
+        });
+    }
+
+    /** Handles the begin or the end of a term of this host as the grantor. */
+    void termChanged(Optional<GrantorTerm> newTerm) {
+        LOG.info(
+                "event=grants_changed leading={} term={} formerGrantors={} tables={}",
+                newTerm.isPresent(),
+                newTerm.map(GrantorTerm::revision).orElse(0L),
+                newTerm.map(GrantorTerm::formerGrantors).orElse(FormerGrantors.NONE),
+                tableRevisions);
+        term = newTerm;
+        termKnownSince = holdClock.nowMillis();
+        for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
+            grantStateMachine.stopLeading();
+            startLeading(grantStateMachine);
+        }
+    }
+
+    private void startLeading(GrantStateMachine grantStateMachine) {
+        term.ifPresent(current ->
+                grantStateMachine.startLeading(current.formerGrantors(), termKnownSince, holdClock.nowMillis()));
+    }
+
+    /** Runs the state machines and carries out the effects that are due. */
+    void tick() {
+        grantStateMachines.values().forEach(this::tick);
+    }
+
+    private void tick(GrantStateMachine grantStateMachine) {
+        boolean termConfirmed = membership.termConfirmed(leaseClock.nowMillis());
+        run(grantStateMachine, grantStateMachine.tick(termConfirmed, holdClock.nowMillis()));
+    }
+
+    private void run(GrantStateMachine grantStateMachine, List<GrantEffect> effects) {
+        for (GrantEffect effect : effects) {
+            switch (effect) {
+                case GrantEffect.Persist persist -> persist(grantStateMachine, persist);
+                case GrantEffect.Grant grant ->
+                    directory
+                            .target(grant.target())
+                            .ifPresentOrElse(
+                                    target -> grantClient.grant(
+                                            target.entry(), grant, settings.callTimeoutMillis(), result -> {
+                                                logUnlessDone(grant, result);
+                                                callEnded(grantStateMachine, grant.call(), result);
+                                            }),
+                                    () -> callEnded(grantStateMachine, grant.call(), new GrantResult.NotSent()));
+                case GrantEffect.Release release ->
+                    directory
+                            .target(release.target())
+                            .ifPresentOrElse(
+                                    target -> grantClient.release(
+                                            target.entry(), release, RELEASE_TIMEOUT_MILLIS, result -> {
+                                                LOG.info("event=keys_released release={} result={}", release, result);
+                                                callEnded(grantStateMachine, release.call(), result);
+                                            }),
+                                    () -> callEnded(grantStateMachine, release.call(), new GrantResult.NotSent()));
+            }
+        }
+    }
+
+    private static void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
+        if (!(result instanceof GrantResult.Done)) {
+            LOG.info("event=grant_failed grant={} result={}", grant, result);
+        }
+    }
+
+    private void callEnded(GrantStateMachine grantStateMachine, long call, GrantResult result) {
+        run(grantStateMachine, grantStateMachine.callEnded(call, result, holdClock.nowMillis()));
+    }
+
+    private void persist(GrantStateMachine grantStateMachine, GrantEffect.Persist persist) {
+        persist.table().assignments().stream()
+                .filter(assignment -> assignment.move().isPresent())
+                .forEach(assignment -> LOG.info("event=move_planned assignment={}", assignment));
+        String key = FleetRecords.tableKey(persist.service());
+        long termRevision = membership.activeTerm().map(GrantorTerm::revision).orElseThrow();
+        List<StoreClient.ExpectedRevision> expected = List.of(
+                new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, termRevision),
+                new StoreClient.ExpectedRevision(key, persist.expectedRevision()));
+        store.commit(expected, List.of(new StoreClient.Put(key, TableCodec.encode(persist.table()), 0)), result -> {
+            if (result.isRight()) {
+                applyTable(persist.service(), persist.table(), result.get());
+                tick(grantStateMachine);
+            } else if (result.getLeft() != StoreError.UNKNOWN) {
+                grantStateMachine.writeFailed();
+            }
+        });
+    }
+
+    /** Stops granting. */
+    void stop() {
+        grantStateMachines.values().forEach(GrantStateMachine::stopLeading);
+        term = Optional.empty();
+    }
+
+    /** Returns the term in which this host grants keys, if it does. */
+    Optional<GrantorTerm> term() {
+        return term;
+    }
+}
