--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -108,6 +108,9 @@
     }
 
     private void applyTable(ServiceName service, ShardTable table, long revision) {
+        if (!isNewer(service, revision)) {
+            return;
+        }
         tables.put(service, new StoredTable(table, revision));
         GrantStateMachine grantStateMachine = grantStateMachines.get(service);
         if (grantStateMachine != null) {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopTest.java
@@ -188,4 +188,16 @@
 
         assertThat(grants).extracting(GrantEffect.Grant::fence).containsOnly(1L);
     }
+
+    /** Guards against requests that are sent to an earlier owner: the answer to a write arrived after a later table. */
+    @Test
+    void a_late_answer_to_a_write_does_not_bring_back_an_earlier_table() {
+        desireService();
+        tickFor(3_000);
+        assertThat(tableWrites).isNotEmpty();
+        recordsWith(tableItem(9, 20));
+        tableWrites.getFirst().accept(Either.right(10L));
+
+        assertThat(changedTables).last().isEqualTo(table(9));
+    }
 }
