--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -142,6 +142,11 @@
         writeOutstandingUntil = Long.MIN_VALUE;
     }
 
+    /** Records whether the lease is known to be valid in the store; otherwise grants are only renewed. */
+    public void leaseConfirmed(boolean confirmed) {
+        leaseValid = confirmed;
+    }
+
     /**
      * Returns the effects that are due.
      *
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -205,6 +205,8 @@
     }
 
     private void callEnded(GrantStateMachine grantStateMachine, long call, GrantResult result) {
+        // The lease may have ended since the last tick, if this host was suspended.
+        grantStateMachine.leaseConfirmed(membership.termConfirmed(leaseClock.nowMillis()));
         run(grantStateMachine, grantStateMachine.callEnded(call, result, holdClock.nowMillis()));
     }
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopTest.java
@@ -200,4 +200,25 @@
 
         assertThat(changedTables).last().isEqualTo(table(9));
     }
+
+    /**
+     * Guards against a host that acts without a lease: after a suspension it handled the answer to a call before its next
+     * tick, by what that tick had found out about its lease.
+     */
+    @Test
+    void a_move_does_not_go_on_by_a_lease_that_ended_before_the_answer_to_a_call() {
+        TargetEntry next =
+                new TargetEntry(TargetId.of("t2"), SERVICE, "127.0.0.1:91", FailureDomain.of("east"), 8, false, 0, 1);
+        directory.replace(List.of(OWNER, next), now);
+        Move move = new Move(next.id(), 1, 4);
+        ShardTable moving = ShardTable.EMPTY.with(new Assignment(KeyRange.ALL, OWNER.id(), 1, 1, Optional.of(move)));
+        desireService();
+        recordsWith(new StoredItem(FleetRecords.tableKey(SERVICE), TableCodec.encode(moving), 6));
+        tickFor(500);
+        assertThat(grants).extracting(GrantEffect.Grant::fence).containsExactly(2L);
+        now += MembershipStateMachine.LEASE_MILLIS + 1;
+        grantResults.getFirst().accept(new GrantResult.Done(Optional.empty()));
+
+        assertThat(releases).isEmpty();
+    }
 }
