--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -330,7 +330,8 @@
      * confirmed; a later lease says nothing of it, because the copy of the store may be outdated when it is obtained.
      */
     private void updateGrantorRole(long now, List<MembershipEffect> effects) {
-        Optional<GrantorTerm> term = now < ownTermConfirmedAt + renewalGraceMillis ? ownTerm : Optional.empty();
+        boolean acting = !stopping && now < ownTermConfirmedAt + renewalGraceMillis;
+        Optional<GrantorTerm> term = acting ? ownTerm : Optional.empty();
         if (!term.equals(activeTerm)) {
             activeTerm = term;
             effects.add(new MembershipEffect.GrantorRoleChanged(term));
