--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
@@ -27,10 +27,17 @@
     private final long startedAt;
     private final TokenLender lender;
     /**
-     * Epochs of partitions taken over from an earlier incarnation of this host, which had ended before this one
-     * started.
+     * Since when this host has known the claims of all hosts; those of the first read may be older than this incarnation. Claims
+     * of several partitions at once have the same epoch.
      */
-    private final Set<Long> reclaimedEpochs = new HashSet<>();
+    private final Map<LenderPartition, Long> knownSince = new HashMap<>();
+
+    private boolean partitionsRead;
+    /**
+     * The partitions taken over from an earlier incarnation of this host, and since when no other host can have lent tokens of
+     * them: the start of this incarnation, or the first sight of the earlier claim if another host had the partition before it.
+     */
+    private final Map<LenderPartition, Long> reclaimedSince = new HashMap<>();
 
     private final Map<CustomerName, TokenAccount> accounts = new HashMap<>();
     /** The accounts to process on each tick. */
@@ -74,9 +81,13 @@
             partitions.put(partition.number(), partition);
             LenderPartition predecessor = previous.get(partition.number());
             if (heldByThisIncarnation(partition) && predecessor != null && heldByEarlierIncarnation(predecessor)) {
-                reclaimedEpochs.add(partition.epoch());
+                reclaimedSince.put(partition, knownSince.get(predecessor));
             }
+            knownSince.putIfAbsent(partition, partitionsRead ? now : startedAt);
         }
+        partitionsRead = true;
+        knownSince.keySet().retainAll(partitions.values());
+        reclaimedSince.keySet().retainAll(partitions.values());
         updateHeldPartitions(now);
     }
 
@@ -105,7 +116,7 @@
     private void updateHeldPartitions(long now) {
         lender.replacePartitions(
                 partitions.values().stream().filter(this::heldUnderCurrentLease).toList(),
-                partition -> reclaimedEpochs.contains(partition.epoch()) ? startedAt : now);
+                partition -> reclaimedSince.getOrDefault(partition, now));
     }
 
     private boolean heldUnderCurrentLease(LenderPartition partition) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/DistributedRateLimiterTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/DistributedRateLimiterTest.java
@@ -173,6 +173,24 @@
             assertThat(restarted.acquire(CUSTOMER, 1, now)).first().isInstanceOf(RateDecision.OverRate.class);
         }
 
+        /** Guards against tokens that were lent twice: a claim of several partitions at once made all of them count as reclaimed. */
+        @Test
+        void a_partition_claimed_together_with_a_reclaimed_one_lends_only_from_then_on() {
+            DistributedRateLimiter restarted = DistributedRateLimiter.of(LENDER, 2, now);
+            restarted.replaceCustomers(List.of(new CustomerSpec(CUSTOMER, OptionalInt.empty(), 10, 10)));
+            restarted.updateLease(LEASE, Long.MAX_VALUE, now);
+            int number = LenderPartition.numberOf(CUSTOMER);
+            FleetMember other = new FleetMember(THIRD, 1, FailureDomain.of("a"), "127.0.0.1:2");
+            List<LenderPartition> before = lenderPartitions(1, 1);
+            before.set(number, new LenderPartition(number, other, 9, 1));
+            restarted.replacePartitions(before, now);
+            now += TokenAccount.TOKEN_LIFETIME_MILLIS;
+            restarted.replacePartitions(lenderPartitions(2, 2), now);
+            now += 100;
+
+            assertThat(restarted.acquire(CUSTOMER, 1, now)).first().isInstanceOf(RateDecision.OverRate.class);
+        }
+
         @Test
         void a_token_that_arrives_too_late_is_returned_unused() {
             borrower.acquire(CUSTOMER, 1, now);
