--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/FormerGrantors.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/FormerGrantors.java
@@ -9,7 +9,8 @@
  * the next grantor must wait for them too if the term ends early. Their times count from the write of that record.
  *
  * @param named the grantors that are known, each host at most once
- * @param unnamedMillis for how long any other host may renew grants, in milliseconds
+ * @param unnamedMillis for how long any other host may renew grants, in milliseconds; not 0 after a record of an earlier version,
+ *     which names none, or an unreadable one
  */
 public record FormerGrantors(List<FormerGrantor> named, long unnamedMillis) {
 
@@ -40,7 +41,7 @@
         return new FormerGrantors(remaining, Math.max(0, unnamedMillis - elapsedMillis));
     }
 
-    /** Returns these and another one, whose host was started again if it stands among these already. */
+    /** Returns these and another one, which replaces the entry of the same host. */
     public FormerGrantors with(FormerGrantor added) {
         List<FormerGrantor> all = new ArrayList<>(named);
         all.removeIf(former -> former.host().equals(added.host()));
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
@@ -14,6 +14,7 @@
     private final long renewalGraceMillis;
     private Optional<GrantorTerm> lastTerm = Optional.empty();
     private long lastTermRevision;
+    /** Since when this host has known the record of the last term, which is no earlier than its write. */
     private long knownSince;
 
     private GrantorSuccession(FleetMember self, long renewalGraceMillis) {
@@ -63,15 +64,18 @@
 
     /** Returns whether a former grantor is this host, which acts in one term at a time, or its host has started again. */
     private boolean hasEnded(FormerGrantor former, Map<HostId, FleetMember> members) {
+        if (former.host().equals(self.host())) {
+            return former.incarnation() <= self.incarnation();
+        }
         FleetMember present = members.get(former.host());
-        return former.host().equals(self.host()) || present != null && present.incarnation() > former.incarnation();
+        return present != null && present.incarnation() > former.incarnation();
     }
 
     /**
-     * Returns whether the record of a term still names former grantors whose renewals have ended. Without them, a host that
-     * doesn't know how old the record is need not wait for them.
+     * Returns whether the record of a term still names former grantors though the renewals of all have ended. A host that starts
+     * later can't tell how old the record is, and would wait for them.
      */
-    public boolean namesOnlyEndedGrantors(GrantorTerm term, long now) {
+    public boolean hasOutdatedFormerGrantors(GrantorTerm term, long now) {
         FormerGrantors former = term.formerGrantors();
         return lastTermRevision == term.revision()
                 && !former.equals(FormerGrantors.NONE)
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorSuccessionTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorSuccessionTest.java
@@ -138,13 +138,13 @@
         private final GrantorTerm term = new GrantorTerm(self, 70, 3, oneHost);
 
         @Test
-        void names_only_ended_grantors_when_their_time_is_over() {
+        void is_outdated_when_the_time_of_all_is_over() {
             succession.lastTermChanged(Optional.of(term), 3, now);
             now += 8_999;
-            assertThat(succession.namesOnlyEndedGrantors(term, now)).isFalse();
+            assertThat(succession.hasOutdatedFormerGrantors(term, now)).isFalse();
             now += 1;
 
-            assertThat(succession.namesOnlyEndedGrantors(term, now)).isTrue();
+            assertThat(succession.hasOutdatedFormerGrantors(term, now)).isTrue();
         }
 
         @Test
@@ -153,7 +153,7 @@
             succession.lastTermChanged(Optional.of(term), 9, now);
             now += GRACE_MILLIS;
 
-            assertThat(succession.namesOnlyEndedGrantors(term, now)).isFalse();
+            assertThat(succession.hasOutdatedFormerGrantors(term, now)).isFalse();
         }
 
         @Test
@@ -161,7 +161,7 @@
             GrantorTerm first = new GrantorTerm(self, 70, 3, FormerGrantors.NONE);
             succession.lastTermChanged(Optional.of(first), 3, now);
 
-            assertThat(succession.namesOnlyEndedGrantors(first, now + GRACE_MILLIS))
+            assertThat(succession.hasOutdatedFormerGrantors(first, now + GRACE_MILLIS))
                     .isFalse();
         }
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -277,7 +277,7 @@
 
     /** Removes former grantors that have ended from the record of this host's term, for hosts that start later. */
     private void updateTermRecord(GrantorTerm term, long now) {
-        if (now < nextTermUpdateAt || !succession.namesOnlyEndedGrantors(term, holdClock.nowMillis())) {
+        if (now < nextTermUpdateAt || !succession.hasOutdatedFormerGrantors(term, holdClock.nowMillis())) {
             return;
         }
         nextTermUpdateAt = now + TERM_UPDATE_INTERVAL_MILLIS;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
@@ -28,7 +28,10 @@
     /** The prefix of the keys of all own records. */
     public static final String PREFIX = "dragonfly/";
 
-    /** The key of the current grantor, bound to the lease of that host. */
+    /**
+     * The key of the current grantor, bound to the lease of that host. Both grantors' keys sort before the tables: a copy that is read
+     * in pages, which are no snapshot, then holds tables that are no older than the grantor's record.
+     */
     public static final String GRANTOR_KEY = PREFIX + "grantor";
 
     /** The key of the host that last claimed the grantor role, not bound to a lease. */
@@ -43,6 +46,9 @@
     /** The prefix of the keys of lender partitions, each bound to the lease of its holder. */
     public static final String LENDER_PARTITION_PREFIX = PREFIX + "lenders/";
 
+    /** The longest grace period that a host of any version may have; an odd record can't hold keys back for longer. */
+    private static final long MAX_RENEWAL_MILLIS = 60_000;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private FleetRecords() {}
@@ -138,7 +144,8 @@
     }
 
     private static long renewalMillis(JsonNode millis) {
-        return Math.clamp(millis.asLong(GrantSettings.RENEWAL_GRACE_MILLIS), 0, GrantSettings.RENEWAL_GRACE_MILLIS);
+        boolean valid = millis.canConvertToLong() && millis.isIntegralNumber() && millis.asLong() >= 0;
+        return valid ? Math.min(millis.asLong(), MAX_RENEWAL_MILLIS) : GrantSettings.RENEWAL_GRACE_MILLIS;
     }
 
     private static long lease(byte[] record) throws IOException {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
@@ -38,6 +38,13 @@
         assertThat(FleetRecords.member(item.value())).contains(MEMBER);
     }
 
+    /** Guards against tables that are older than the grantor's record, in a copy that was read in pages. */
+    @Test
+    void the_grantors_keys_sort_before_the_tables() {
+        assertThat(List.of(FleetRecords.GRANTOR_KEY, FleetRecords.LAST_GRANTOR_KEY))
+                .allSatisfy(key -> assertThat(key).isLessThan(FleetRecords.TABLE_PREFIX));
+    }
+
     /** Guards against a grantor that waits for nobody, since a host of an earlier version was the grantor before it. */
     @Test
     void any_host_may_renew_after_a_term_whose_record_names_no_former_grantors() {
@@ -49,8 +56,8 @@
 
     /** Guards against a service whose keys never move, since an odd record promises renewals for years. */
     @ParameterizedTest
-    @CsvSource({"-5, 0", "9000000000000000000, 10000", "\"soon\", 10000"})
-    void no_former_grantor_renews_for_longer_than_the_grace_period(String written, long read) {
+    @CsvSource({"-5, 10000", "1e30, 10000", "9000000000000000000, 60000", "\"soon\", 10000", "20000, 20000"})
+    void a_former_grantor_renews_for_a_bounded_time(String written, long read) {
         String record =
                 "{\"host\":\"front-1\",\"incarnation\":7,\"domain\":\"east\",\"peer\":\"127.0.0.1:80\",\"lease\":3,"
                         + "\"unnamedMillis\":0,\"formerGrantors\":[{\"host\":\"front-2\",\"incarnation\":8,\"renewsForMillis\":"
