--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/RateCodec.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/RateCodec.java
@@ -77,7 +77,11 @@
 
     static Optional<RateMessage> decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            return Optional.of(unpackMessage(unpacker));
+            RateMessage message = unpackMessage(unpacker);
+            if (unpacker.hasNext()) {
+                throw new IOException("bytes after the message");
+            }
+            return Optional.of(message);
         } catch (IOException | MessagePackException | IllegalArgumentException unreadable) {
             LOG.warn("event=rate_message_unreadable bytes={} cause=\"{}\"", bytes.length, unreadable.getMessage());
             return Optional.empty();
@@ -103,12 +107,12 @@
         for (int i = unpackSize(unpacker); i > 0; i--) {
             result.add(new RateMessage.Demand(
                     CustomerName.of(unpacker.unpackString()),
-                    unpacker.unpackLong(),
-                    unpacker.unpackLong(),
-                    unpacker.unpackInt(),
-                    unpacker.unpackInt(),
-                    unpacker.unpackLong(),
-                    unpacker.unpackLong()));
+                    notNegative(unpacker.unpackLong()),
+                    notNegative(unpacker.unpackLong()),
+                    (int) notNegative(unpacker.unpackInt()),
+                    (int) notNegative(unpacker.unpackInt()),
+                    notNegative(unpacker.unpackLong()),
+                    notNegative(unpacker.unpackLong())));
         }
         return result;
     }
@@ -118,14 +122,21 @@
         for (int i = unpackSize(unpacker); i > 0; i--) {
             result.add(new RateMessage.Loan(
                     CustomerName.of(unpacker.unpackString()),
-                    unpacker.unpackLong(),
-                    unpacker.unpackLong(),
-                    unpacker.unpackInt(),
-                    unpacker.unpackLong()));
+                    notNegative(unpacker.unpackLong()),
+                    notNegative(unpacker.unpackLong()),
+                    (int) notNegative(unpacker.unpackInt()),
+                    notNegative(unpacker.unpackLong())));
         }
         return result;
     }
 
+    private static long notNegative(long number) throws IOException {
+        if (number < 0) {
+            throw new IOException("negative number: " + number);
+        }
+        return number;
+    }
+
     private static int unpackSize(MessageUnpacker unpacker) throws IOException {
         int size = unpacker.unpackArrayHeader();
         if (size > MAX_ENTRIES) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
@@ -11,6 +11,7 @@
 import org.dragonflymux.core.gateway.PeerReport;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.shard.KeyRange;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -22,6 +23,8 @@
     private static final Logger LOG = LogManager.getLogger(ReportCodec.class);
     private static final int FORMAT_VERSION = 3;
     private static final int MAX_ENTRIES = 4_096;
+    /** Limit on each count, so that the sum over all hosts stays in range. */
+    private static final int MAX_COUNT = 1 << 20;
 
     private ReportCodec() {}
 
@@ -70,7 +73,11 @@
             if (unpacker.unpackInt() != FORMAT_VERSION) {
                 return Optional.empty();
             }
-            return Optional.of(unpackReport(unpacker));
+            PeerReport report = unpackReport(unpacker);
+            if (unpacker.hasNext()) {
+                throw new IOException("bytes after the report");
+            }
+            return Optional.of(report);
         } catch (IOException | MessagePackException | IllegalArgumentException unreadable) {
             LOG.warn("event=peer_report_unreadable bytes={} cause=\"{}\"", bytes.length, unreadable.getMessage());
             return Optional.empty();
@@ -89,29 +96,37 @@
         for (int i = checkSize(unpacker.unpackArrayHeader()); i > 0; i--) {
             targets.add(new PeerReport.TargetUse(
                     unpacker.unpackInt(),
-                    unpacker.unpackInt(),
-                    unpacker.unpackInt(),
-                    unpacker.unpackInt(),
-                    unpacker.unpackInt(),
-                    unpacker.unpackInt(),
+                    unpackNumber(unpacker, MAX_COUNT),
+                    unpackNumber(unpacker, MAX_COUNT),
+                    unpackNumber(unpacker, MAX_COUNT),
+                    unpackNumber(unpacker, Integer.MAX_VALUE),
+                    unpackNumber(unpacker, Integer.MAX_VALUE),
                     unpacker.unpackInt()));
         }
         Map<ServiceName, Integer> waiting = new HashMap<>();
         for (int i = checkSize(unpacker.unpackMapHeader()); i > 0; i--) {
-            waiting.put(ServiceName.of(unpacker.unpackString()), unpacker.unpackInt());
+            waiting.put(ServiceName.of(unpacker.unpackString()), unpackNumber(unpacker, MAX_COUNT));
         }
         Map<ServiceName, int[]> keys = new HashMap<>();
         for (int i = checkSize(unpacker.unpackMapHeader()); i > 0; i--) {
             ServiceName service = ServiceName.of(unpacker.unpackString());
             int[] list = new int[checkSize(unpacker.unpackArrayHeader())];
             for (int k = 0; k < list.length; k++) {
-                list[k] = unpacker.unpackInt();
+                list[k] = unpackNumber(unpacker, KeyRange.MAX_KEY);
             }
             keys.put(service, list);
         }
         return new PeerReport(from, incarnation, sequence, included, targets, waiting, keys);
     }
 
+    private static int unpackNumber(MessageUnpacker unpacker, int max) throws IOException {
+        int number = unpacker.unpackInt();
+        if (number < 0 || number > max) {
+            throw new IOException("number out of range: " + number);
+        }
+        return number;
+    }
+
     private static int checkSize(int size) throws IOException {
         if (size > MAX_ENTRIES) {
             throw new IOException("too many entries: " + size);
--- /dev/null
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/damage/package-info.java
@@ -0,0 +1,2 @@
+/** Damaged messages for tests of decoders. */
+package org.dragonflymux.gateway.damage;
