--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/PeerExchange.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/PeerExchange.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -29,7 +28,7 @@
     private final RequestPath requests;
     private final ControlLoop control;
     private final LongSupplier requestTime;
-    private final Map<HostId, InetSocketAddress> senderAddresses = new HashMap<>();
+    private final RecentSenders recentSenders = new RecentSenders();
     private Map<HostId, InetSocketAddress> memberAddresses = Map.of();
     private PeerSocket socket;
 
@@ -102,16 +101,15 @@
 
     private void rateMessageReceived(RateMessage message, InetSocketAddress sender) {
         if (message.via().isEmpty()) {
-            senderAddresses.put(message.from(), sender);
+            recentSenders.record(message.from(), sender);
         }
         requests.rateMessageReceived(message);
     }
 
     private void send(HostId to, RateMessage message) {
         // A host whose calls the store refuses is not registered as a member but still asks others for tokens.
-        InetSocketAddress address = memberAddresses.getOrDefault(to, senderAddresses.get(to));
-        if (address != null) {
-            socket.send(message, address);
-        }
+        Optional.ofNullable(memberAddresses.get(to))
+                .or(() -> recentSenders.addressOf(to))
+                .ifPresent(address -> socket.send(message, address));
     }
 }
