--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/RelayFrame.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/RelayFrame.java
@@ -32,8 +32,8 @@
         long sinceRecoveryMillis,
         Optional<EchoTimestamp> echoTimestamp) {
 
-    /** Limits the memory that a malformed frame can make its reader allocate. */
-    private static final int MAX_VALUE_BYTES = 4 << 20;
+    /** Limits the memory that a frame can make its reader allocate: a change takes more of it than of the frame. */
+    private static final int MAX_CHANGES = 1 << 18;
 
     /**
      * A timestamp of the receiver, echoed by the sender of the frame.
@@ -91,6 +91,7 @@
     }
 
     static RelayFrame decode(ByteBuf bytes) throws IOException {
+        int size = bytes.readableBytes();
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(ByteBufUtil.getBytes(bytes))) {
             boolean snapshot = unpacker.unpackBoolean();
             long revision = unpacker.unpackLong();
@@ -100,22 +101,29 @@
                     ? Optional.of(new EchoTimestamp(unpacker.unpackLong(), unpacker.unpackLong()))
                     : Optional.empty();
             List<StoreChange> changes = new ArrayList<>();
-            for (int i = unpacker.unpackArrayHeader(); i > 0; i--) {
-                changes.add(unpackChange(unpacker));
+            int count = unpacker.unpackArrayHeader();
+            if (count > MAX_CHANGES) {
+                throw new IOException("too many changes: " + count);
+            }
+            for (int i = 0; i < count; i++) {
+                changes.add(unpackChange(unpacker, size));
+            }
+            if (unpacker.hasNext()) {
+                throw new IOException("bytes after the changes");
             }
             return new RelayFrame(
                     snapshot, new StoreClient.Changes(changes, revision), age, sinceRecovery, echoTimestamp);
         }
     }
 
-    private static StoreChange unpackChange(MessageUnpacker unpacker) throws IOException {
+    private static StoreChange unpackChange(MessageUnpacker unpacker, int maxValueBytes) throws IOException {
         String key = unpacker.unpackString();
         long revision = unpacker.unpackLong();
         if (unpacker.tryUnpackNil()) {
             return new StoreChange.Removed(key, revision);
         }
         int length = unpacker.unpackBinaryHeader();
-        if (length > MAX_VALUE_BYTES) {
+        if (length > maxValueBytes) {
             throw new IOException("value too long: " + length);
         }
         byte[] value = unpacker.readPayload(length);
