--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -260,7 +260,7 @@
 
     private void frameReceived(RelayFrame frame) {
         if (frame.sinceRecoveryMillis() < NEVER_MILLIS) {
-            recoveredAt = Math.max(recoveredAt, clock.nowMillis() - frame.sinceRecoveryMillis());
+            recoveredAt = Math.max(recoveredAt, clock.nowMillis() - Math.max(0, frame.sinceRecoveryMillis()));
             listener.storeRecovered(recoveredAt);
         }
         if (frame.snapshot() && frame.changes().revision() < revision) {
@@ -275,7 +275,9 @@
         }
         boolean upToDate = frame.changes().revision() >= revision;
         long completeAtBefore = completeAt;
-        frame.completeAt().ifPresent(at -> {
+        frame.completeAt().ifPresent(claimed -> {
+            // Nothing that has arrived is newer than now, whatever a faulty host says.
+            long at = Math.min(claimed, clock.nowMillis());
             if (upToDate) {
                 confirm(at);
             }
