--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
@@ -73,16 +73,16 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        addFraming(channel).pipeline().addLast(new Subscriber(initialFrame));
+                        addFraming(channel, Long.BYTES).pipeline().addLast(new Subscriber(initialFrame));
                     }
                 })
                 .bind(address)
                 .syncUninterruptibly();
     }
 
-    private static SocketChannel addFraming(SocketChannel channel) {
+    private static SocketChannel addFraming(SocketChannel channel, int maxReceivedBytes) {
         channel.pipeline()
-                .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new LengthFieldBasedFrameDecoder(maxReceivedBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES));
         return channel;
     }
@@ -140,7 +140,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        addFraming(channel).pipeline().addLast(new Subscription(frameHandler));
+                        addFraming(channel, MAX_FRAME_BYTES).pipeline().addLast(new Subscription(frameHandler));
                     }
                 })
                 .connect(to)
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/FaultyRelayTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/FaultyRelayTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Either;
 import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -248,6 +249,8 @@
     @Nested
     class Follower {
 
+        private static final int MAX_DRAINED = 1_000;
+
         private Socket connect(InetSocketAddress address) throws IOException {
             Socket socket = new Socket(address.getAddress(), address.getPort());
             socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
@@ -259,6 +262,37 @@
             return in.readNBytes(in.readInt());
         }
 
+        /** Returns whether the other side ends the connection rather than waiting for further bytes. */
+        private static boolean ended(Socket socket) {
+            try {
+                for (int i = 0; i < MAX_DRAINED; i++) {
+                    if (socket.getInputStream().read() < 0) {
+                        return true;
+                    }
+                }
+                return false;
+            } catch (java.net.SocketTimeoutException waiting) {
+                return false;
+            } catch (IOException reset) {
+                return true;
+            }
+        }
+
+        /** Such a connection kept up to 32 MB, and any number of them may be opened. */
+        @Test
+        void that_announces_more_than_a_timestamp_is_disconnected_before_it_sends_that() throws Exception {
+            InetSocketAddress address = unusedAddress();
+            mirror(address);
+            awaitKey("first");
+            for (int length : new int[] {9, 1_000, 32 << 20, Integer.MAX_VALUE, -1}) {
+                try (Socket follower = connect(address)) {
+                    new DataOutputStream(follower.getOutputStream()).writeInt(length);
+
+                    assertThat(ended(follower)).as("length %d", length).isTrue();
+                }
+            }
+        }
+
         @Test
         void that_sends_any_bytes_doesnt_disturb_the_others() throws Exception {
             InetSocketAddress address = unusedAddress();
