--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/DrawnResponsesTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/DrawnResponsesTest.java
@@ -41,7 +41,10 @@
     private static final int PARALLEL = 4;
     private static final int ROUNDS = 5;
     private static final int MAX_CALLS = 3;
-    private static final int LONG_BODY_BYTES = 1 << 20;
+    /** More than the buffers of a connection hold, so that a request may be written only in part when its answer arrives. */
+    private static final int LONG_BODY_BYTES = 8 << 20;
+
+    private static final byte[] BODY = new byte[LONG_BODY_BYTES];
     private static final int MAX_RESPONSE_BYTES = 4_096;
     private static final long LONG_TIMEOUT_MILLIS = 20_000;
     private static final long SETTLE_MILLIS = 20;
@@ -99,7 +102,7 @@
 
     private static FullHttpRequest request(String id, int bodyBytes) {
         FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.POST, "/" + id, Unpooled.wrappedBuffer(new byte[bodyBytes]));
+                HttpVersion.HTTP_1_1, HttpMethod.POST, "/" + id, Unpooled.wrappedBuffer(BODY, 0, bodyBytes));
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
         return request;
     }
@@ -114,7 +117,7 @@
             List<Exchange> parallel = new ArrayList<>();
             for (int i = random.nextInt(MAX_CALLS); i >= 0; i--) {
                 Exchange exchange = new Exchange("r" + seed + "-" + round + "-" + i, random.nextInt(20) > 0);
-                int bodyBytes = random.nextInt(3) == 0 ? random.nextInt(LONG_BODY_BYTES) : random.nextInt(100);
+                int bodyBytes = random.nextInt(5) == 0 ? random.nextInt(LONG_BODY_BYTES) : random.nextInt(100);
                 long timeout = exchange.patient ? LONG_TIMEOUT_MILLIS : 1 + random.nextInt(20);
                 parallel.add(exchange);
                 loop.execute(() -> pool.call(endpoint, request(exchange.id, bodyBytes), timeout, 1.0, exchange));
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/DrawnTarget.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/DrawnTarget.java
@@ -83,6 +83,7 @@
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         private final List<WrittenAnswer> answers = new ArrayList<>();
         private boolean inOrder = true;
+        private boolean inOrderBehind = true;
         private boolean untilClose;
 
         void add(String text) {
@@ -169,6 +170,7 @@
                 Script script = script(random, request.id());
                 inOrder &= script.inOrder;
                 End end = write(connection, random, script, request.id(), inOrder);
+                inOrder &= script.inOrderBehind;
                 switch (end) {
                     case NEXT -> {
                         if (early) {
@@ -223,6 +225,7 @@
         }
         answer(random, script, id, true);
         if (!script.untilClose && random.nextInt(5) == 0) {
+            script.inOrderBehind = false;
             switch (random.nextInt(4)) {
                 case 0 -> answer(random, script, id, true);
                 case 1 -> answer(random, script, otherId(random, id), false);
