--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/TableCodec.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/TableCodec.java
@@ -82,12 +82,30 @@
     /** Decodes a table; empty if the bytes are not a valid table. */
     public static Optional<ShardTable> decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            return unpacker.unpackInt() == FORMAT_VERSION ? Optional.of(unpackTable(unpacker)) : Optional.empty();
+            if (unpacker.unpackInt() != FORMAT_VERSION) {
+                return Optional.empty();
+            }
+            ShardTable table = unpackTable(unpacker);
+            return !unpacker.hasNext() && isConsistent(table) ? Optional.of(table) : Optional.empty();
         } catch (IOException | MessagePackException | IllegalArgumentException | IndexOutOfBoundsException unreadable) {
             return Optional.empty();
         }
     }
 
+    /** Returns whether each key has at most one owner, and no fencing token is above the last one issued. */
+    private static boolean isConsistent(ShardTable table) {
+        int next = KeyRange.MIN_KEY;
+        for (Assignment assignment : table.assignments()) {
+            long highestFence = Math.max(
+                    assignment.fence(), assignment.move().map(Move::fence).orElse(0L));
+            if (assignment.range().first() < next || assignment.fence() < 0 || highestFence > table.lastFence()) {
+                return false;
+            }
+            next = assignment.range().last() + 1;
+        }
+        return true;
+    }
+
     private static ShardTable unpackTable(MessageUnpacker unpacker) throws IOException {
         long lastFence = unpacker.unpackLong();
         List<TargetIncarnation> incarnations = new ArrayList<>();
