--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -8,8 +8,9 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Guards against two targets that hold the same key for over half a second, on schedules of faults drawn from seeds. The
- * environment variable {@code STORM_SEEDS} sets the number of seeds.
+ * Guards against two targets that hold the same key for over half a second, that work on it at the same time, or of which the
+ * later one has it under a lower fencing token, and against keys that stay without an owner after the last fault, on schedules
+ * of faults drawn from seeds. The environment variable {@code STORM_SEEDS} sets the number of seeds.
  */
 class KeyOwnershipUnderFaultsTest {
 
@@ -20,6 +21,11 @@
     /** The least share of keys and time with an owner; a deployment that grants nothing would keep the rule. */
     private static final double MIN_HELD_SHARE = 0.8;
 
+    /** Within which time each key must have an owner once the last fault has ended. */
+    private static final long OWNER_WITHIN_MILLIS = 4_000;
+
+    private static final long CALM_FROM_MILLIS = 40_000;
+
     private static final String SEEDS = "org.dragonflymux.gateway.control.simulation.KeyOwnershipUnderFaultsTest#seeds";
 
     static LongStream seeds() {
@@ -33,9 +39,13 @@
     }
 
     private static void assertSingleOwners(SimulatedDeployment deployment) {
+        assertRulesHold(deployment);
+        assertThat(deployment.checker().heldShare()).isGreaterThan(MIN_HELD_SHARE);
+    }
+
+    private static void assertRulesHold(SimulatedDeployment deployment) {
         deployment.runUntil(RUN_MILLIS);
-        assertThat(deployment.targets().violations()).isEmpty();
-        assertThat(deployment.targets().heldShare()).isGreaterThan(MIN_HELD_SHARE);
+        assertThat(deployment.checker().violations()).isEmpty();
     }
 
     @Nested
@@ -111,7 +121,7 @@
             deployment.restartAnsweredGrantor(100, 101);
 
             deployment.runUntil(START_MILLIS + 20_000);
-            assertThat(deployment.targets().violations()).isEmpty();
+            assertThat(deployment.checker().violations()).isEmpty();
         }
 
         /** The same, at times drawn from the seed. */
@@ -123,8 +133,7 @@
             deployment.repeat(3_000, 9_000, () -> deployment.isolateGrantor(9_000, 14_000));
             deployment.repeat(1_000, 4_000, () -> deployment.restartAnsweredGrantor(100, 400));
 
-            deployment.runUntil(RUN_MILLIS);
-            assertThat(deployment.targets().violations()).isEmpty();
+            assertRulesHold(deployment);
         }
     }
 
@@ -144,8 +153,38 @@
             deployment.repeat(8_000, 20_000, () -> deployment.restartGrantor(100, 3_000));
             deployment.repeat(2_000, 6_000, () -> deployment.stepTimeOfDay(2_000));
 
-            deployment.runUntil(RUN_MILLIS);
-            assertThat(deployment.targets().violations()).isEmpty();
+            assertRulesHold(deployment);
+        }
+    }
+
+    @Nested
+    class OwnersAfterFaults {
+
+        private void assertAllKeysOwned(SimulatedDeployment deployment) {
+            deployment.runUntil(CALM_FROM_MILLIS);
+            deployment.runUntilCalm(OWNER_WITHIN_MILLIS);
+            assertThat(deployment.checker().violations()).isEmpty();
+        }
+
+        /** Targets without keys stayed marked as unresponsive; when the last one with keys crashed, none could get them. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void return_after_restarts_of_targets(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.repeat(500, 2_500, () -> deployment.restartTarget(300, 1_500));
+
+            assertAllKeysOwned(deployment);
+        }
+
+        /** Keys waited for the end of a hold of an owner that answered again, with a new grantor for up to 13.6 s. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void return_after_kills_of_grantors(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.repeat(3_000, 9_000, () -> deployment.cutOffTarget(1_000, 2_000));
+            deployment.repeat(4_000, 9_000, () -> deployment.restartGrantor(100, 3_000));
+
+            assertAllKeysOwned(deployment);
         }
     }
 }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
@@ -21,6 +21,8 @@
     private final SimulatedStore store;
     private final SimulatedTargets targets;
     private final List<SimulatedHost> hosts = new ArrayList<>();
+    private boolean faultsEnded;
+    private long lastStartAt;
 
     SimulatedDeployment(long seed, int hostCount, int targetCount) {
         random = new SplittableRandom(seed);
@@ -49,6 +51,9 @@
     /** Repeats a fault with a pause of random length before each. */
     void repeat(int minPauseMillis, int maxPauseMillis, Runnable fault) {
         time.after(random.nextInt(minPauseMillis, maxPauseMillis), () -> {
+            if (faultsEnded) {
+                return;
+            }
             fault.run();
             repeat(minPauseMillis, maxPauseMillis, fault);
         });
@@ -59,7 +64,7 @@
         SimulatedTarget target = targets.all().get(random.nextInt(targets.all().size()));
         if (target.up()) {
             target.crash();
-            time.after(random.nextInt(minDownMillis, maxDownMillis), () -> targets.start(target));
+            startLater(random.nextInt(minDownMillis, maxDownMillis), () -> targets.start(target));
         }
     }
 
@@ -122,7 +127,13 @@
 
     private void restart(SimulatedHost host, int minDownMillis, int maxDownMillis) {
         host.kill();
-        time.after(random.nextInt(minDownMillis, maxDownMillis), host::start);
+        startLater(random.nextInt(minDownMillis, maxDownMillis), host::start);
+    }
+
+    /** Starts a process again; the faults have ended only then. */
+    private void startLater(long millis, Runnable start) {
+        lastStartAt = Math.max(lastStartAt, time.now() + millis);
+        time.after(millis, start);
     }
 
     /** Shuts a random target down: it announces that it leaves, ends after a while, and a new one starts in its place. */
@@ -132,14 +143,32 @@
         time.after(drainMillis, () -> {
             target.crash();
             store.removeTarget(target.id());
-            time.after(downMillis, () -> targets.start(target));
+            startLater(downMillis, () -> targets.start(target));
         });
+        lastStartAt = Math.max(lastStartAt, time.now() + drainMillis + downMillis);
+    }
+
+    /**
+     * Ends all faults, waits until the last process is back and the last late call was carried out, and then for a time in
+     * which each key must have got an owner.
+     */
+    void runUntilCalm(long ownerWithinMillis) {
+        faultsEnded = true;
+        targets.endFaults();
+        store.endFaults();
+        long calmFrom = Math.max(time.now(), Math.max(lastStartAt, targets.lastLateGrantAt()));
+        time.runUntil(calmFrom + ownerWithinMillis);
+        targets.checker().checkAllHeld();
     }
 
     void runUntil(long end) {
         time.runUntil(end);
     }
 
+    OwnershipChecker checker() {
+        return targets.checker();
+    }
+
     SimulatedTargets targets() {
         return targets;
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
@@ -74,6 +74,12 @@
         lostAnswerShare = share;
     }
 
+    /** Answers all hosts again, and loses no more answers. */
+    void endFaults() {
+        unanswered.clear();
+        lostAnswerShare = 0;
+    }
+
     void registerTarget(TargetEntry entry) {
         revision++;
         targets.put(entry.id(), entry);
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
@@ -1,50 +1,37 @@
 package org.dragonflymux.gateway.control.simulation;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
-import java.util.stream.Collectors;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.shard.GrantEffect;
 import org.dragonflymux.core.shard.GrantResult;
-import org.dragonflymux.core.shard.KeyRange;
 
-/** All targets, the way of calls to them, and the check that no two of them hold the same key. */
+/** All targets, and the way of calls to them. */
 final class SimulatedTargets {
 
     private static final long ONE_WAY_MILLIS = 2;
     private static final long SAMPLE_MILLIS = 25;
     private static final int MAX_LATE_MILLIS = 4_000;
     private static final int MAX_WORK_MILLIS = 150;
-    /** How far back the calls are shown that led to a violation. */
-    private static final long SHOWN_MILLIS = 8_000;
-    /** How long two targets may hold the same key, in milliseconds. */
-    private static final long MAX_SHARED_MILLIS = 500;
 
     private final VirtualTime time;
     private final SimulatedStore store;
     private final SplittableRandom random;
     private final List<SimulatedTarget> targets = new ArrayList<>();
-    private final long[] sharedSince = new long[SimulatedTarget.KEYS];
-    private final List<String> violations = new ArrayList<>();
+    private final OwnershipChecker checker;
     private final Set<TargetId> cutOff = new HashSet<>();
     private final Set<Path> cutPaths = new HashSet<>();
-    private final Deque<CallRecord> recentCalls = new ArrayDeque<>();
     private double lateShare;
-    private long heldKeySamples;
-    private long keySamples;
-
-    /** A call that a target carried out. */
-    private record CallRecord(long at, String kind, TargetId target, KeyRange range, long fence, GrantResult result) {}
+    private long lastLateGrantAt;
 
     /** The way of calls from a host to a target. */
     private record Path(String host, TargetId target) {}
@@ -58,7 +45,11 @@
             targets.add(target);
             start(target);
         }
-        time.every(SAMPLE_MILLIS, this::checkHolders);
+        checker = new OwnershipChecker(time::now, targets);
+        time.every(SAMPLE_MILLIS, () -> {
+            checker.sample();
+            return true;
+        });
     }
 
     List<SimulatedTarget> all() {
@@ -123,12 +114,7 @@
             long timeoutMillis,
             Map<TargetId, Long> establishedWith,
             Consumer<GrantResult> result) {
-        LongFunction<GrantResult> action = arrivedAt -> recorded(
-                arrivedAt == time.now() ? "grant" : "late grant that arrived at " + arrivedAt,
-                id,
-                grant.range(),
-                grant.fence(),
-                target(id).grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedAt));
+        LongFunction<GrantResult> action = arrivedAt -> take(sender, target(id), grant, arrivedAt);
         arrive(new Path(sender, id), timeoutMillis, result, target -> {
             if (grant.connection() == GrantEffect.Connection.ESTABLISHED
                     && !Objects.equals(establishedWith.get(id), target.incarnation())) {
@@ -142,7 +128,9 @@
             }
             long arrivedAt = time.now();
             long incarnation = target.incarnation();
-            time.after(random.nextInt(MAX_LATE_MILLIS), () -> {
+            int lateMillis = random.nextInt(MAX_LATE_MILLIS);
+            lastLateGrantAt = Math.max(lastLateGrantAt, arrivedAt + lateMillis);
+            time.after(lateMillis, () -> {
                 if (target.up() && target.incarnation() == incarnation) {
                     action.apply(arrivedAt);
                 }
@@ -151,36 +139,27 @@
         });
     }
 
-    void release(
-            String sender, TargetId id, GrantEffect.Release release, long timeoutMillis, Consumer<GrantResult> result) {
-        arrive(
-                new Path(sender, id),
-                timeoutMillis,
-                result,
-                target -> answer(
-                        recorded(
-                                "release",
-                                id,
-                                release.range(),
-                                release.fence(),
-                                target.release(release.range(), release.fence())),
-                        random.nextInt(MAX_WORK_MILLIS),
-                        result));
-    }
-
-    private GrantResult recorded(String kind, TargetId id, KeyRange range, long fence, GrantResult result) {
-        recentCalls.addLast(new CallRecord(time.now(), kind, id, range, fence, result));
-        while (recentCalls.getFirst().at() < time.now() - SHOWN_MILLIS) {
-            recentCalls.removeFirst();
+    private GrantResult take(String sender, SimulatedTarget target, GrantEffect.Grant grant, long arrivedAt) {
+        boolean onTime = arrivedAt == time.now();
+        boolean taken = target.takes(grant.range(), grant.fence());
+        GrantResult result = target.grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedAt, onTime);
+        String kind = onTime ? "grant" : "late grant that arrived at " + arrivedAt;
+        checker.called(sender, kind, target, grant.range(), grant.fence(), result);
+        if (taken && onTime) {
+            checker.grantTaken(target, grant.range(), grant.fence());
         }
         return result;
     }
 
-    private String callsFor(int key) {
-        return recentCalls.stream()
-                .filter(call -> call.range().contains(key))
-                .map(call -> "  " + call)
-                .collect(Collectors.joining("\n"));
+    void release(
+            String sender, TargetId id, GrantEffect.Release release, long timeoutMillis, Consumer<GrantResult> result) {
+        arrive(new Path(sender, id), timeoutMillis, result, target -> {
+            int workMillis = random.nextInt(MAX_WORK_MILLIS);
+            long endsAt = target.release(release.range(), release.fence(), time.now(), workMillis);
+            GrantResult outcome = new GrantResult.Done(Optional.of("handover-" + id + "-" + release.fence()));
+            checker.called(sender, "release", target, release.range(), release.fence(), outcome);
+            answer(outcome, endsAt - time.now(), result);
+        });
     }
 
     /** Delivers a call to the incarnation that runs when it arrives; with none, the connection is refused. */
@@ -201,41 +180,19 @@
         time.after(workMillis + ONE_WAY_MILLIS, () -> result.accept(outcome));
     }
 
-    private boolean checkHolders() {
-        long now = time.now();
-        for (int key = 0; key < SimulatedTarget.KEYS; key++) {
-            int holders = countHolders(key, now);
-            keySamples++;
-            heldKeySamples += holders == 0 ? 0 : 1;
-            if (holders < 2) {
-                sharedSince[key] = Long.MAX_VALUE;
-            } else {
-                sharedSince[key] = Math.min(sharedSince[key], now);
-                if (now - sharedSince[key] > MAX_SHARED_MILLIS) {
-                    int shared = key * SimulatedTarget.KEY_STEP;
-                    violations.add("at " + now + " ms two targets hold key " + shared + ":\n" + callsFor(shared));
-                    sharedSince[key] = Long.MAX_VALUE;
-                }
-            }
-        }
-        return true;
-    }
-
-    private int countHolders(int key, long now) {
-        int holders = 0;
-        for (SimulatedTarget target : targets) {
-            holders += target.holds(key, now) ? 1 : 0;
-        }
-        return holders;
+    /** Ends all faults of targets and of the way to them. */
+    void endFaults() {
+        lateShare = 0;
+        cutPaths.clear();
+        targets.forEach(target -> cutOff(target, false));
     }
 
-    /** Returns the times and keys for which two targets held the same key for too long. */
-    List<String> violations() {
-        return violations;
+    /** Returns when the last grant that is late was or will be carried out. */
+    long lastLateGrantAt() {
+        return lastLateGrantAt;
     }
 
-    /** Returns the share of all keys and time in which a key was held. */
-    double heldShare() {
-        return (double) heldKeySamples / keySamples;
+    OwnershipChecker checker() {
+        return checker;
     }
 }
