--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -157,6 +157,62 @@
         }
     }
 
+    @Nested
+    class FrozenGrantors {
+
+        /** What a grantor sent before it stood still arrives after its successor began, and it goes on with old answers. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void do_not_grant_what_their_successor_moved(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.targets().lateGrants(0.05);
+            deployment.repeat(4_000, 9_000, () -> deployment.freezeGrantor(500, 14_000));
+            deployment.repeat(3_000, 9_000, () -> deployment.restartTarget(300, 1_500));
+            deployment.repeat(4_000, 9_000, () -> deployment.replaceTarget(2_500, 1_000));
+
+            assertRulesHold(deployment);
+        }
+    }
+
+    @Nested
+    class OutdatedCopies {
+
+        /** A term starts by the copy of the store that a host has then, which arrives late or was read in pages. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void of_the_store_give_no_key_two_owners(long seed) {
+            SimulatedDeployment deployment = new SimulatedDeployment(seed, 5, TARGETS);
+            deployment.runUntil(START_MILLIS);
+            deployment.store().lateWrites(0.1);
+            deployment.repeat(500, 2_500, () -> deployment.delayUpdates(6_000, 5_000));
+            deployment.repeat(2_000, 6_000, () -> deployment.discardHistory(1_500));
+            deployment.repeat(3_000, 8_000, () -> deployment.restartGrantor(100, 3_000));
+            deployment.repeat(9_000, 20_000, () -> deployment.isolateGrantor(3_000, 15_000));
+            deployment.repeat(4_000, 9_000, () -> deployment.replaceTarget(2_500, 1_000));
+
+            assertRulesHold(deployment);
+        }
+    }
+
+    @Nested
+    class KilledHosts {
+
+        /** All hosts end at once, and those that come back first have no term to go by. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void that_return_together_respect_present_holds(long seed) {
+            SimulatedDeployment deployment = new SimulatedDeployment(seed, 5, TARGETS);
+            deployment.runUntil(START_MILLIS);
+            deployment.targets().lateGrants(0.1);
+            deployment.store().lateWrites(0.1);
+            deployment.repeat(4_000, 14_000, () -> deployment.restartAllHosts(100, 5_000));
+            deployment.repeat(3_000, 9_000, () -> deployment.restartTarget(300, 1_500));
+            deployment.repeat(5_000, 12_000, () -> deployment.cutOffTarget(2_000, 6_000));
+
+            assertRulesHold(deployment);
+        }
+    }
+
     @Nested
     class OwnersAfterFaults {
 
