--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTarget.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTarget.java
@@ -24,6 +24,7 @@
     private long incarnation;
     private boolean up;
     private boolean draining;
+    private boolean fencedByReleases = true;
     private long[] heldUntil = new long[KEYS];
     private long[] fenceSeen = new long[KEYS];
     /** Until when the keys would be held without releases, by the grants that weren't held up on their way. */
@@ -53,6 +54,11 @@
         return incarnation;
     }
 
+    /** Sets whether the token of a release counts as seen. */
+    void fencedByReleases(boolean fenced) {
+        fencedByReleases = fenced;
+    }
+
     void draining(boolean announced) {
         draining = announced;
     }
@@ -135,7 +141,9 @@
                 workEndsAt[key] = now + workMillis;
             }
             endsAt = Math.max(endsAt, workEndsAt[key]);
-            fenceSeen[key] = Math.max(fenceSeen[key], fence);
+            if (fencedByReleases) {
+                fenceSeen[key] = Math.max(fenceSeen[key], fence);
+            }
             heldUntil[key] = 0;
         }
         return endsAt;
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
@@ -96,6 +96,11 @@
         lateShare = share;
     }
 
+    /** Sets whether targets refuse grants under tokens below that of a release. */
+    void fencedByReleases(boolean fenced) {
+        targets.forEach(target -> target.fencedByReleases(fenced));
+    }
+
     private SimulatedTarget target(TargetId id) {
         return targets.stream()
                 .filter(target -> target.id().equals(id))
