--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/DamagedRecordsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/DamagedRecordsTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.dragonflymux.core.membership.FleetMember;
+import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.TargetId;
@@ -113,7 +114,7 @@
 
         @Test
         void damaged_ones_are_rejected_or_usable() {
-            List<byte[]> originals = List.of(FleetRecords.encode(MEMBER), FleetRecords.encodeHolder(MEMBER, 3));
+            List<byte[]> originals = List.of(FleetRecords.encode(MEMBER), FleetRecords.encodeTerm(MEMBER, 3, FormerGrantors.NONE));
             for (int seed = 0; seed < CASES; seed++) {
                 Random random = new Random(seed);
                 byte[] bytes = DamagedBytes.ofJson().draw(random, originals);
