--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -29,6 +29,7 @@
     private static final long REGISTRATION_WAIT_MILLIS = 1_500;
     private static final long UNRESPONSIVE_AFTER_MILLIS = 900;
     private static final long RETRY_DELAY_MILLIS = 150;
+    private static final long OWNER_RETRY_DELAY_MILLIS = 1_000;
     /**
      * Renewals wait while a target has this many unanswered calls, since a host that has just started cannot send the
      * renewals of all assignments at once.
@@ -275,11 +276,22 @@
             case FENCE_OWNER ->
                 sendGrant(assignment, progress, assignment.owner(), move.ownerFence(), Optional.empty(), now, effects);
             case RELEASE -> sendRelease(assignment, progress, now, effects);
+            case AWAIT_EXPIRY -> {
+                if (mayAskOwnerAgain(progress, now)) {
+                    progress.advanceTo(Step.FENCE_OWNER);
+                    sendCall(assignment, progress, now, effects);
+                }
+            }
             case GRANT -> sendGrant(assignment, progress, move.to(), move.fence(), progress.handover(), now, effects);
-            case AWAIT_EXPIRY, DONE -> {}
+            case DONE -> {}
         }
     }
 
+    /** Returns whether a call to the owner that gets no answer would not lengthen the wait for the end of its hold. */
+    private boolean mayAskOwnerAgain(MoveProgress progress, long now) {
+        return now + settings.callTimeoutMillis() + settings.worstCaseHoldMillis() < progress.expiresAt();
+    }
+
     /** Renews the grant of the new owner until the table with the completed move is stored. */
     private void renewMovedGrant(Assignment assignment, Move move, long now, List<GrantEffect> effects) {
         TargetGrants target = grantsOf(move.to());
@@ -368,6 +380,7 @@
                 } else {
                     progress.expiresNotBefore(grantsOf(call.target).heldUntil());
                     progress.advanceTo(Step.AWAIT_EXPIRY);
+                    progress.retryAt(now + OWNER_RETRY_DELAY_MILLIS);
                 }
             }
             case RELEASE -> {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
@@ -250,6 +250,21 @@
                     .isFalse();
             assertThat(grantedToOther(failEveryCall(8_000))).isTrue();
         }
+
+        /** Guards against keys without an owner for 13.6 s under a new grantor, though their owner answered again after one. */
+        @Test
+        void is_asked_again_for_its_keys_while_a_predecessor_may_still_renew() {
+            machine.tableStored(table(ownedBy("a", 5)), 1);
+            machine.startLeading(ANY_HOST_RENEWS, now, now);
+            failEveryCall(2_000);
+            List<GrantEffect> effects = runFor(1_500);
+
+            GrantEffect.Grant fencing = of(GrantEffect.Grant.class, effects).getFirst();
+            assertThat(of(
+                            GrantEffect.Release.class,
+                            machine.callEnded(fencing.call(), new GrantResult.Done(Optional.empty()), now)))
+                    .hasSize(1);
+        }
     }
 
     /** A renewal that was sent before the new entry was read may reach the new incarnation, which takes it. */
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/DamagedRecordsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/DamagedRecordsTest.java
@@ -114,7 +114,8 @@
 
         @Test
         void damaged_ones_are_rejected_or_usable() {
-            List<byte[]> originals = List.of(FleetRecords.encode(MEMBER), FleetRecords.encodeTerm(MEMBER, 3, FormerGrantors.NONE));
+            List<byte[]> originals =
+                    List.of(FleetRecords.encode(MEMBER), FleetRecords.encodeTerm(MEMBER, 3, FormerGrantors.NONE));
             for (int seed = 0; seed < CASES; seed++) {
                 Random random = new Random(seed);
                 byte[] bytes = DamagedBytes.ofJson().draw(random, originals);
