--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.dragonflymux.core.balance.TargetDirectory;
+import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.balance.TargetState;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.membership.FormerGrantors;
@@ -174,7 +175,9 @@
         return grants.computeIfAbsent(
                 target,
                 _ -> new TargetGrants(
-                        settings, othersRenewUntil + settings.callTimeoutMillis() + settings.worstCaseHoldMillis()));
+                        settings,
+                        othersRenewUntil + settings.callTimeoutMillis() + settings.worstCaseHoldMillis(),
+                        incarnationOf(target)));
     }
 
     private boolean hasNewerIncarnation(TargetId id, long incarnation) {
@@ -463,9 +466,7 @@
         double mean = directory.longTermServiceMillis(service);
         List<PlanTarget> result = new ArrayList<>();
         for (TargetState target : directory.forService(service)) {
-            TargetGrants targetGrants = grants.get(target.entry().id());
-            boolean unresponsive =
-                    targetGrants != null && targetGrants.unresponsiveMillis(now) > UNRESPONSIVE_AFTER_MILLIS;
+            boolean unresponsive = isUnresponsive(target.entry(), now);
             result.add(new PlanTarget(
                     target.entry().id(),
                     target.entry().incarnation(),
@@ -475,6 +476,15 @@
         return result;
     }
 
+    private boolean isUnresponsive(TargetEntry target, long now) {
+        TargetGrants targetGrants = grants.get(target.id());
+        if (targetGrants == null) {
+            return false;
+        }
+        targetGrants.registeredAs(target.incarnation());
+        return targetGrants.unresponsiveMillis(now) > UNRESPONSIVE_AFTER_MILLIS;
+    }
+
     private double capacityPerSecond(TargetState target, double mean, long now) {
         double millis =
                 Math.clamp(target.longTermServiceMillis(mean), mean * MIN_LATENCY_RATIO, mean * MAX_LATENCY_RATIO);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
@@ -3,20 +3,26 @@
 /** The grantor's view of the grants of one target. Times are milliseconds of the monotonic clock. */
 final class TargetGrants {
 
+    private static final long FAILURE_MEMORY_MILLIS = 30_000;
+
     private final GrantSettings settings;
     private long heldUntil = Long.MIN_VALUE;
     private long unconfirmedUntil;
     private int outstandingCalls;
     private long failingSince = Long.MAX_VALUE;
+    private long lastFailureAt = Long.MIN_VALUE / 2;
+    private long incarnation;
     private long retryAt = Long.MIN_VALUE;
 
     /**
      * Creates the grants of a target that this grantor has not called yet.
      *
-     * @param unconfirmedUntil until when grants of an earlier grantor may be in force, of which this one knows nothing
+     * @param unconfirmedUntil until when unknown grants of an earlier grantor may be in force
+     * @param incarnation the registered incarnation of the target, 0 if it isn't registered
      */
-    TargetGrants(GrantSettings settings, long unconfirmedUntil) {
+    TargetGrants(GrantSettings settings, long unconfirmedUntil, long incarnation) {
         this.settings = settings;
+        this.incarnation = incarnation;
         this.unconfirmedUntil = unconfirmedUntil;
     }
 
@@ -41,7 +47,8 @@
     }
 
     private void callFailed(long sentAt, long now) {
-        failingSince = Math.min(failingSince, sentAt);
+        failingSince = failuresForgotten(now) ? sentAt : Math.min(failingSince, sentAt);
+        lastFailureAt = now;
         retryAt = now + settings.renewalIntervalMillis() / 6;
     }
 
@@ -67,8 +74,21 @@
         return now >= retryAt;
     }
 
-    /** Returns for how long all calls to the target have failed, in milliseconds. */
+    /** Records the registered incarnation of the target. Failed calls to an earlier one say nothing of it. */
+    void registeredAs(long registeredIncarnation) {
+        if (registeredIncarnation > incarnation) {
+            incarnation = registeredIncarnation;
+            failingSince = Long.MAX_VALUE;
+        }
+    }
+
+    /** Returns for how long all calls to the target have failed, in milliseconds; 0 if the last one was long ago. */
     long unresponsiveMillis(long now) {
-        return failingSince == Long.MAX_VALUE ? 0 : now - failingSince;
+        return failingSince == Long.MAX_VALUE || failuresForgotten(now) ? 0 : now - failingSince;
+    }
+
+    /** A target without keys isn't called, so that only time can show that it may answer again. */
+    private boolean failuresForgotten(long now) {
+        return outstandingCalls == 0 && now - lastFailureAt > FAILURE_MEMORY_MILLIS;
     }
 }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
@@ -267,6 +267,65 @@
         }
     }
 
+    /** Guards against keys that no target may get: targets stayed marked as unresponsive after their keys had moved away. */
+    @Nested
+    class UnresponsiveTarget {
+
+        private void moveAllKeysToOther() {
+            machine.tableStored(table(ownedBy("a", 5)), 1);
+            machine.startLeading(FormerGrantors.NONE, now, now);
+            for (long end = now + 10_000; now < end; now += 50) {
+                for (GrantEffect effect : tick()) {
+                    switch (effect) {
+                        case GrantEffect.Grant grant -> machine.callEnded(grant.call(), resultOf(grant), now);
+                        case GrantEffect.Release release ->
+                            machine.callEnded(release.call(), new GrantResult.Unknown(), now);
+                        case GrantEffect.Persist persist -> machine.tableStored(persist.table(), now);
+                    }
+                }
+            }
+            assertThat(machine.table().assignments())
+                    .extracting(Assignment::owner)
+                    .containsOnly(TargetId.of("b"));
+        }
+
+        private GrantResult resultOf(GrantEffect.Grant grant) {
+            return grant.target().equals(TargetId.of("a"))
+                    ? new GrantResult.Unknown()
+                    : new GrantResult.Done(Optional.empty());
+        }
+
+        private List<Assignment> plannedAfterLossOfOther(long incarnation) {
+            directory.replace(List.of(entry("a", incarnation, false), entry("b", 1, true)), now);
+            return of(GrantEffect.Persist.class, runFor(1_000)).stream()
+                    .flatMap(persist -> persist.table().assignments().stream())
+                    .filter(assignment -> assignment.move().isPresent())
+                    .toList();
+        }
+
+        @Test
+        void gets_no_keys() {
+            moveAllKeysToOther();
+
+            assertThat(plannedAfterLossOfOther(1)).isEmpty();
+        }
+
+        @Test
+        void may_get_keys_after_it_has_started_again() {
+            moveAllKeysToOther();
+
+            assertThat(plannedAfterLossOfOther(2)).isNotEmpty();
+        }
+
+        @Test
+        void may_get_keys_if_its_last_failed_call_was_long_ago() {
+            moveAllKeysToOther();
+            now += 60_000;
+
+            assertThat(plannedAfterLossOfOther(1)).isNotEmpty();
+        }
+    }
+
     /** A renewal that was sent before the new entry was read may reach the new incarnation, which takes it. */
     @Nested
     class RestartedOwner {
