--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/OwnershipChecker.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/OwnershipChecker.java
@@ -100,7 +100,7 @@
         for (int key = 0; key < SimulatedTarget.KEYS; key++) {
             int holders = countHolders(key, now);
             keySamples++;
-            if (holders > 0 || isHeld(key, now)) {
+            if (holders > 0) {
                 heldKeySamples++;
                 lastHeldAt[key] = now;
             }
@@ -119,15 +119,11 @@
     private int countHolders(int key, long now) {
         int holders = 0;
         for (SimulatedTarget target : targets) {
-            holders += target.holdsCounted(key, now) ? 1 : 0;
+            holders += target.holds(key, now) ? 1 : 0;
         }
         return holders;
     }
 
-    private boolean isHeld(int key, long now) {
-        return targets.stream().anyMatch(target -> target.holds(key, now));
-    }
-
     /** Checks that each key has an owner, or had one a moment ago. */
     void checkAllHeld() {
         for (int key = 0; key < SimulatedTarget.KEYS; key++) {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
@@ -51,7 +51,6 @@
     private long resyncAt;
     private boolean wasAnswered = true;
     private long updateDelayMillis;
-    private long thawedAt = Long.MIN_VALUE / 2;
 
     /** One incarnation of the host. */
     private final class Process implements ControlLoop.Listener {
@@ -157,7 +156,7 @@
 
             @Override
             public void grant(TargetEntry to, GrantEffect.Grant grant, long timeout, Consumer<GrantResult> result) {
-                targets.grant(name, thawedAt, to.id(), grant, timeout, establishedWith, delivered(result));
+                targets.grant(name, to.id(), grant, timeout, establishedWith, delivered(result));
             }
 
             @Override
@@ -211,7 +210,6 @@
         }
         stopped.frozen = true;
         time.after(millis, () -> {
-            thawedAt = time.now();
             stopped.thaw(random.nextBoolean());
         });
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTarget.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTarget.java
@@ -30,9 +30,6 @@
     /** Until when the keys would be held without releases, by the grants that weren't held up on their way. */
     private long[] grantedUntil = new long[KEYS];
 
-    /** The same, by the grants that their sender did not send just after it had stood still. */
-    private long[] countedUntil = new long[KEYS];
-
     private long[] workEndsAt = new long[KEYS];
     private long[] highestFence = new long[KEYS];
     private final long[] previousIncarnationsFence = new long[KEYS];
@@ -75,7 +72,6 @@
         heldUntil = new long[KEYS];
         fenceSeen = new long[KEYS];
         grantedUntil = new long[KEYS];
-        countedUntil = new long[KEYS];
         workEndsAt = new long[KEYS];
         for (int key = 0; key < KEYS; key++) {
             previousIncarnationsFence[key] = Math.max(previousIncarnationsFence[key], highestFence[key]);
@@ -109,19 +105,15 @@
      * Takes a grant, now or late; its hold counts from its arrival.
      *
      * @param onTime whether the grant wasn't held up on its way
-     * @param thawed whether its sender had just stood still
      */
-    GrantResult grant(KeyRange range, long fence, long holdMillis, long arrivedAt, boolean onTime, boolean thawed) {
+    GrantResult grant(KeyRange range, long fence, long holdMillis, long arrivedAt, boolean onTime) {
         if (!takes(range, fence)) {
             return new GrantResult.Fenced();
         }
         for (int key = firstKey(range); key <= lastKey(range); key++) {
             fenceSeen[key] = fence;
             heldUntil[key] = arrivedAt + (long) (holdMillis * SLOW_CLOCK_FACTOR);
-            if (!thawed) {
-                countedUntil[key] = heldUntil[key];
-            }
-            if (onTime && !thawed) {
+            if (onTime) {
                 grantedUntil[key] = heldUntil[key];
                 highestFence[key] = Math.max(highestFence[key], fence);
             }
@@ -167,9 +159,4 @@
     boolean holds(int key, long now) {
         return up && heldUntil[key] > now;
     }
-
-    /** Returns whether this target holds a key, but not only by a grant whose sender had just stood still. */
-    boolean holdsCounted(int key, long now) {
-        return holds(key, now) && countedUntil[key] > now;
-    }
 }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
@@ -22,8 +22,6 @@
     private static final long SAMPLE_MILLIS = 25;
     private static final int MAX_LATE_MILLIS = 4_000;
     private static final int MAX_WORK_MILLIS = 150;
-    /** For how long after its sender stood still a grant doesn't count. */
-    private static final long THAW_MILLIS = 300;
 
     private final VirtualTime time;
     private final SimulatedStore store;
@@ -112,18 +110,16 @@
      * Sends a grant.
      *
      * @param sender the name of the host that sends it
-     * @param senderThawedAt when that host last went on after standing still
      * @param establishedWith the incarnations of targets that have a connection with the sender; it is updated
      */
     void grant(
             String sender,
-            long senderThawedAt,
             TargetId id,
             GrantEffect.Grant grant,
             long timeoutMillis,
             Map<TargetId, Long> establishedWith,
             Consumer<GrantResult> result) {
-        LongFunction<GrantResult> action = arrivedAt -> take(sender, senderThawedAt, target(id), grant, arrivedAt);
+        LongFunction<GrantResult> action = arrivedAt -> take(sender, target(id), grant, arrivedAt);
         arrive(new Path(sender, id), timeoutMillis, result, target -> {
             if (grant.connection() == GrantEffect.Connection.ESTABLISHED
                     && !Objects.equals(establishedWith.get(id), target.incarnation())) {
@@ -148,15 +144,13 @@
         });
     }
 
-    private GrantResult take(
-            String sender, long senderThawedAt, SimulatedTarget target, GrantEffect.Grant grant, long arrivedAt) {
+    private GrantResult take(String sender, SimulatedTarget target, GrantEffect.Grant grant, long arrivedAt) {
         boolean onTime = arrivedAt == time.now();
-        boolean thawed = arrivedAt - senderThawedAt <= THAW_MILLIS;
         boolean taken = target.takes(grant.range(), grant.fence());
-        GrantResult result = target.grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedAt, onTime, thawed);
-        String kind = (thawed ? "thawed " : "") + (onTime ? "grant" : "late grant that arrived at " + arrivedAt);
+        GrantResult result = target.grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedAt, onTime);
+        String kind = onTime ? "grant" : "late grant that arrived at " + arrivedAt;
         checker.called(sender, kind, target, grant.range(), grant.fence(), result);
-        if (taken && onTime && !thawed) {
+        if (taken && onTime) {
             checker.grantTaken(target, grant.range(), grant.fence());
         }
         return result;
