--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -27,6 +27,10 @@
     private static final long RETRY_DELAY_MILLIS = 250;
     private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
     private static final long FIRST_WATCH_MILLIS = 20;
+    /** After this delay beyond its wait, a call without an answer is followed by another one. */
+    private static final long OVERDUE_MILLIS = 800;
+
+    private static final long NO_CALL = 0;
     private static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
 
     private final EventLoop loop;
@@ -43,7 +47,12 @@
     private long retryDelayMillis = RETRY_DELAY_MILLIS;
     private boolean reachable = true;
     private boolean watchingStore = true;
-    private boolean callOutstanding;
+    /** The latest call, until it is answered or overdue. Answers to earlier calls are applied, but start no further call. */
+    private long currentCall = NO_CALL;
+
+    private long lastCall = NO_CALL;
+    /** When the latest call that was answered had been sent. */
+    private long answeredCallSentAt = Long.MIN_VALUE;
 
     /** Receives the changes of the mirror. */
     public interface Listener {
@@ -112,7 +121,7 @@
         relay.subscribe(source, this::frameReceived);
         boolean resumes = watchStore && !watchingStore;
         watchingStore = watchStore;
-        if (resumes && !callOutstanding) {
+        if (resumes) {
             // The first watch is short, to confirm the current state without delay.
             continueWatching(FIRST_WATCH_MILLIS);
         }
@@ -129,7 +138,7 @@
     }
 
     private void continueWatching(long nextWatchMillis) {
-        if (!watchingStore || callOutstanding) {
+        if (!watchingStore || currentCall != NO_CALL) {
             return;
         }
         if (revision < 0) {
@@ -145,26 +154,62 @@
         retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
     }
 
+    /**
+     * Records that a call is sent. A store that was silent may answer new calls long before an earlier one times out, so a
+     * call that is overdue is followed by another one.
+     */
+    private long startCall(long waitMillis) {
+        long call = ++lastCall;
+        currentCall = call;
+        loop.schedule(() -> callOverdue(call), waitMillis + OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
+        return call;
+    }
+
+    private void callOverdue(long call) {
+        if (endCall(call)) {
+            continueWatching(FIRST_WATCH_MILLIS);
+        }
+    }
+
+    /** Records that a call has ended or is overdue, and returns whether it was the current one. */
+    private boolean endCall(long call) {
+        boolean current = call == currentCall;
+        if (current) {
+            currentCall = NO_CALL;
+        }
+        return current;
+    }
+
+    /** Handles a failed call. The failure of a call that was sent before an answered one says nothing about the store now. */
+    private void callFailed(StoreError error, boolean current, long sentAt) {
+        if (sentAt > answeredCallSentAt) {
+            markUnreachable(error);
+        }
+        if (current) {
+            scheduleRetry();
+        }
+    }
+
     private void read() {
-        callOutstanding = true;
+        long call = startCall(0);
         long sentAt = clock.nowMillis();
-        store.range(prefix, result -> readEnded(result, sentAt));
+        store.range(prefix, result -> readEnded(result, endCall(call), sentAt));
     }
 
-    private void readEnded(Either<StoreError, StoreClient.Range> result, long sentAt) {
-        callOutstanding = false;
+    private void readEnded(Either<StoreError, StoreClient.Range> result, boolean current, long sentAt) {
         if (result.isLeft()) {
-            markUnreachable(result.getLeft());
-            scheduleRetry();
+            callFailed(result.getLeft(), current, sentAt);
             return;
         }
-        markReachable();
+        markReachable(sentAt);
         if (result.get().revision() >= revision) {
             replace(result.get().items(), result.get().revision());
             relay.publish(snapshot());
         }
         confirm(sentAt);
-        continueWatching(watchMillis);
+        if (current) {
+            continueWatching(watchMillis);
+        }
     }
 
     private void replace(List<StoredItem> all, long newRevision) {
@@ -191,23 +236,25 @@
     }
 
     private void watch(long timeoutMillis) {
-        callOutstanding = true;
+        long call = startCall(timeoutMillis);
         long sentAt = clock.nowMillis();
-        store.watch(prefix, revision, timeoutMillis, result -> watchEnded(result, sentAt, timeoutMillis));
+        store.watch(
+                prefix, revision, timeoutMillis, result -> watchEnded(result, endCall(call), sentAt, timeoutMillis));
     }
 
-    private void watchEnded(Either<StoreError, StoreClient.Changes> result, long sentAt, long timeoutMillis) {
-        callOutstanding = false;
-        if (result.isLeft()) {
-            if (result.getLeft() == StoreError.COMPACTED) {
+    private void watchEnded(
+            Either<StoreError, StoreClient.Changes> result, boolean current, long sentAt, long timeoutMillis) {
+        if (result.isLeft() && result.getLeft() == StoreError.COMPACTED) {
+            if (current) {
                 read();
-            } else {
-                markUnreachable(result.getLeft());
-                scheduleRetry();
             }
             return;
         }
-        markReachable();
+        if (result.isLeft()) {
+            callFailed(result.getLeft(), current, sentAt);
+            return;
+        }
+        markReachable(sentAt);
         StoreClient.Changes changes = result.get();
         // A watch that ended without changes shows that there were none until its end.
         boolean unchanged = changes.changes().isEmpty();
@@ -215,6 +262,9 @@
         List<StoreChange> applied = apply(changes);
         confirm(completeAt);
         publish(applied);
+        if (!current) {
+            return;
+        }
         if (unchanged) {
             continueWatching(watchMillis);
         } else {
@@ -324,7 +374,8 @@
                 Optional.empty());
     }
 
-    private void markReachable() {
+    private void markReachable(long sentAt) {
+        answeredCallSentAt = Math.max(answeredCallSentAt, sentAt);
         retryDelayMillis = RETRY_DELAY_MILLIS;
         if (!reachable) {
             reachable = true;
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
@@ -27,6 +27,14 @@
     private static final long TIMEOUT_MILLIS = 5_000;
     private static final long POLL_MILLIS = 10;
     private static final long MAX_AGE_MILLIS = 1_200;
+    /** After this time, a store client reports a call without an answer as failed. */
+    private static final long CALL_TIMEOUT_MILLIS = 1_500;
+    /**
+     * Changes are in force within 2 s of their confirmation. Of these, a host has 1,500 ms to notice that the store answers
+     * again, since relays and a slow answer take time as well.
+     */
+    private static final long MAX_RETURN_MILLIS = 1_500;
+
     private static final AtomicInteger PORTS = new AtomicInteger(7_100);
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
@@ -38,11 +46,16 @@
         loops.shutdownGracefully();
     }
 
-    /** A store whose values are set by the test; a watch ends at once if there are changes, otherwise after its wait. */
+    /**
+     * A store whose values are set by the test; a watch ends at once if there are changes, otherwise after its wait. While it
+     * is silent, calls stay unanswered.
+     */
     private final class FakeStore implements StoreClient {
 
         private final List<StoreChange> history = new ArrayList<>();
         private final AtomicInteger calls = new AtomicInteger();
+        private final AtomicInteger unansweredWatches = new AtomicInteger();
+        private volatile boolean silent;
         private long revision = 1;
 
         void write(String key) {
@@ -58,6 +71,14 @@
         @Override
         public void watch(String prefix, long after, long waitMillis, Consumer<Either<StoreError, Changes>> result) {
             calls.incrementAndGet();
+            if (silent) {
+                unansweredWatches.incrementAndGet();
+                loop.schedule(
+                        () -> result.accept(Either.left(StoreError.UNKNOWN)),
+                        waitMillis + CALL_TIMEOUT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+                return;
+            }
             loop.schedule(
                     () -> result.accept(Either.right(new Changes(
                             history.stream()
@@ -168,6 +189,49 @@
         assertThat(now() - last.completeAt.get()).isBetween(0L, MAX_AGE_MILLIS);
     }
 
+    /**
+     * Guards against a host that stays at an old version for seconds after the store's return, because it waits until a call
+     * from the time of the silence has timed out.
+     */
+    @Test
+    void the_return_of_a_silent_store_is_noticed_while_an_earlier_call_is_unanswered() throws Exception {
+        Recorder recorder = new Recorder();
+        mirror(unusedAddress(), Optional.empty(), recorder);
+        store.write("before");
+        awaitKey(recorder, "before");
+
+        store.silent = true;
+        awaitUnansweredWatches(store.unansweredWatches.get() + 3);
+        store.silent = false;
+        long returnedAt = now();
+        store.write("after");
+        awaitKey(recorder, "after");
+
+        assertThat(now() - returnedAt).isLessThan(MAX_RETURN_MILLIS);
+    }
+
+    /** Returns right after the mirror has sent a call that stays unanswered. */
+    private void awaitUnansweredWatches(int count) throws InterruptedException {
+        long deadline = now() + 3 * TIMEOUT_MILLIS;
+        while (store.unansweredWatches.get() < count && now() < deadline) {
+            Thread.sleep(POLL_MILLIS);
+        }
+        assertThat(store.unansweredWatches).hasValueGreaterThanOrEqualTo(count);
+    }
+
+    /** Guards against hosts that burden a store which is slow to answer with ever more calls. */
+    @Test
+    void a_silent_store_gets_few_calls() throws Exception {
+        mirror(unusedAddress(), Optional.empty(), new Recorder());
+        store.silent = true;
+        Thread.sleep(2 * WATCH_MILLIS);
+        int before = store.calls.get();
+
+        Thread.sleep(3_000);
+
+        assertThat(store.calls.get() - before).isLessThanOrEqualTo(5);
+    }
+
     /** Guards against updates that circulate between hosts which follow each other. */
     @Test
     void hosts_that_follow_each_other_do_not_flood_each_other() throws Exception {
