A response with a status outside 100 to 599 is malformed

Cause: any status below 200 passed for an interim response, 000 too, so that the caller waited for its time limit; 600 to 999 were passed on as replies.

Change: the connection ends the call as malformed and closes. The request may have run, so the caller gets no refusal. Statuses 100 to 199 are still skipped as interim responses.

After: all eight fail at once.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
@@ -17,7 +18,6 @@
 
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 4_000;
     private static final long IDLE_MARGIN_MILLIS = 700;
-    private static final int MIN_FINAL_STATUS = 200;
     /** Limit on the responses to one request before the final one: interim ones and responses to other requests. */
     private static final int MAX_SKIPPED_RESPONSES = 16;
 
@@ -87,12 +87,12 @@
             answeredCall.fail(CallFailure.BROKEN);
             return;
         }
-        if (response.decoderResult().isFailure()) {
+        if (response.decoderResult().isFailure() || response.status().codeClass() == HttpStatusClass.UNKNOWN) {
             answeredCall.fail(CallFailure.MALFORMED);
             close();
             return;
         }
-        if (response.status().code() < MIN_FINAL_STATUS) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             countSkipped();
             return;
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/target/TargetMessages.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/target/TargetMessages.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Optional;
@@ -78,8 +79,9 @@
     /** Returns the result of an attempt, given the target's response and the id of the request. */
     public AttemptResult result(FullHttpResponse response, String requestId) {
         // Nothing in a response counts, not even that the request was not run, unless it is the response to this
-        // request.
-        if (!requestId.equals(response.headers().get(names.requestId()))) {
+        // request and its status is one of HTTP's.
+        if (!requestId.equals(response.headers().get(names.requestId()))
+                || response.status().codeClass() == HttpStatusClass.UNKNOWN) {
             return new AttemptResult.Lost(true);
         }
         int status = response.status().code();
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/BrokenResponseTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/BrokenResponseTest.java
@@ -89,4 +89,34 @@
                     .isIn(CallFailure.BROKEN.name(), CallFailure.MALFORMED.name());
         }
     }
+
+    /**
+     * Guards against passing on a response whose status is none of HTTP's, and against a caller that waits for its time limit
+     * because such a response was taken for an interim one.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "001", "099", "600", "999", "1000", "-01", "2x0"})
+    void a_response_with_a_status_outside_the_range_fails_at_once(String status) throws Exception {
+        String response = "HTTP/1.1 %s OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole".formatted(status);
+
+        assertThat(outcome(response, ScriptedTarget.End.KEEP)).isEqualTo(CallFailure.MALFORMED.name());
+    }
+
+    /** Guards against taking the statuses at the ends of the range for malformed ones. */
+    @ParameterizedTest
+    @ValueSource(strings = {"200", "299", "500", "599"})
+    void a_response_with_any_status_of_the_range_is_passed_on(String status) throws Exception {
+        String response = "HTTP/1.1 %s X\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole".formatted(status);
+
+        assertThat(outcome(response, ScriptedTarget.End.KEEP)).isEqualTo("whole");
+    }
+
+    /** Guards against ending a call by an interim response, after which the final one follows. */
+    @ParameterizedTest
+    @ValueSource(strings = {"100", "199"})
+    void an_interim_response_is_skipped(String status) throws Exception {
+        String response = "HTTP/1.1 %s X\r\n\r\n".formatted(status) + WITH_LENGTH;
+
+        assertThat(outcome(response, ScriptedTarget.End.KEEP)).isEqualTo("whole");
+    }
 }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/target/TargetMessagesTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/target/TargetMessagesTest.java
@@ -83,6 +83,16 @@
             }
         }
 
+        /** Guards against passing on a status that is none of HTTP's, which callers cannot interpret. */
+        @Test
+        void a_status_outside_the_range_is_malformed() {
+            for (int status : new int[] {0, 99, 600, 999}) {
+                assertThat(messages.result(response(status, "Id", "x", "Seal", "s"), "x"))
+                        .as("status %d", status)
+                        .isEqualTo(new AttemptResult.Lost(true));
+            }
+        }
+
         /** Guards against telling a caller that its request has not run when a target repeats an earlier refusal. */
         @Test
         void a_refusal_of_another_request_or_without_an_id_says_nothing_about_this_one() {
