--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -12,6 +12,9 @@
     private static final double LONG_TERM_SMOOTHING = 0.06;
 
     private static final double SLOWDOWN_SMOOTHING = 0.03;
+    /** A slowdown of about a second shows in this average; plans by the slower one alone took several seconds to react. */
+    private static final double RECENT_SLOWDOWN_SMOOTHING = 0.15;
+
     private static final double FAILURE_SMOOTHING = 0.2;
     private static final long SLOWDOWN_VALID_MILLIS = 400;
     private static final double SLOWDOWN_DURATION_MILLIS = 150;
@@ -35,6 +38,7 @@
     private double serviceMillis = -1;
     private double baseServiceMillis = -1;
     private double averageSlowdown = 1;
+    private double recentSlowdown = 1;
     private double failureRatio;
     private int consecutiveFailures;
     private int consecutiveRefusals;
@@ -262,6 +266,7 @@
             slowdownPercent = percent;
             slowdownAt = at;
             averageSlowdown += SLOWDOWN_SMOOTHING * (percent / 100.0 - averageSlowdown);
+            recentSlowdown += RECENT_SLOWDOWN_SMOOTHING * (percent / 100.0 - recentSlowdown);
         }
     }
 
@@ -303,6 +308,15 @@
         return baseServiceMillis < 0 ? defaultMillis : baseServiceMillis * averageSlowdown;
     }
 
+    /**
+     * Returns the long-term service time by which keys are placed, or the default if there are no measurements. The larger of
+     * the average and the recent slowdown counts, so that keys leave a slow target soon and return to it late.
+     */
+    public double plannedServiceMillis(double defaultMillis) {
+        double base = baseServiceMillis < 0 ? defaultMillis : baseServiceMillis;
+        return base * Math.max(averageSlowdown, recentSlowdown);
+    }
+
     public boolean hasMeasurements() {
         return serviceMillis >= 0;
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -48,11 +48,13 @@
     private final ServiceName service;
     private final GrantSettings settings;
     private final TargetDirectory directory;
-    private final KeyLoad load = KeyLoad.empty();
     private final Map<TargetId, TargetGrants> grants = new HashMap<>();
     private final Map<Assignment, MoveProgress> moves = new HashMap<>();
     private final Map<Assignment, Long> nextRenewalAt = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
+    private final List<EndedMove> endedMoves = new ArrayList<>();
+    private KeyLoad load = KeyLoad.empty();
+    private Optional<PlacementPlan> latestPlan = Optional.empty();
     private ShardTable table = ShardTable.EMPTY;
     private long tableRevision;
     private boolean leading;
@@ -110,6 +112,8 @@
         }
         leading = true;
         leadingSince = now;
+        // Requests that arrived while another host was the grantor are unknown.
+        load = KeyLoad.empty();
         othersRenewUntil = termKnownSince + formerGrantors.renewForMillis();
         inheritedAssignments = new HashSet<>(table.assignments());
         grants.clear();
@@ -235,6 +239,7 @@
 
     private void advanceMove(Assignment assignment, long now, List<GrantEffect> effects) {
         MoveProgress progress = moves.computeIfAbsent(assignment, a -> startMove(a, now));
+        progress.measure(now);
         Move move = assignment.move().orElseThrow();
         if (progress.step() == Step.DONE) {
             renewMovedGrant(assignment, move, now, effects);
@@ -317,7 +322,7 @@
         if (owner.hasOutstandingCalls()) {
             expiresAt = Math.max(expiresAt, now + settings.callTimeoutMillis() + settings.worstCaseHoldMillis());
         }
-        MoveProgress progress = new MoveProgress(first, knownIncarnation(assignment), expiresAt);
+        MoveProgress progress = new MoveProgress(first, knownIncarnation(assignment), expiresAt, now);
         progress.retryAt(now + PROPAGATION_DELAY_MILLIS);
         return progress;
     }
@@ -331,7 +336,8 @@
         MoveProgress progress = new MoveProgress(
                 Step.RELEASE,
                 knownIncarnation(assignment),
-                grantsOf(assignment.owner()).heldUntil());
+                grantsOf(assignment.owner()).heldUntil(),
+                now);
         progress.retryAt(Math.max(now, leadingSince + settings.callTimeoutMillis()));
         return progress;
     }
@@ -376,6 +382,7 @@
     }
 
     private void moveCallEnded(Call call, MoveProgress progress, GrantResult result, long now) {
+        progress.measure(now);
         switch (call.step) {
             case FENCE_OWNER -> {
                 if (result instanceof GrantResult.Done) {
@@ -429,6 +436,9 @@
             if (entry.getValue().step() == Step.DONE) {
                 Assignment moved = entry.getKey();
                 Move move = moved.move().orElseThrow();
+                if (entry.getValue().takeEnd()) {
+                    endedMoves.add(endedMove(moved, entry.getValue()));
+                }
                 after = after.with(
                         new Assignment(moved.range(), move.to(), move.incarnation(), move.fence(), Optional.empty()));
             }
@@ -436,6 +446,18 @@
         return after;
     }
 
+    private static EndedMove endedMove(Assignment moved, MoveProgress progress) {
+        return new EndedMove(
+                moved.range(),
+                moved.owner(),
+                moved.move().orElseThrow().to(),
+                progress.millisIn(Step.FENCE_OWNER),
+                progress.millisIn(Step.RELEASE),
+                progress.millisIn(Step.AWAIT_EXPIRY),
+                progress.millisIn(Step.GRANT),
+                progress.handover().isPresent());
+    }
+
     private ShardTable plan(ShardTable before, long now) {
         List<PlanTarget> targets = planTargets(now);
         if (before.assignments().isEmpty()) {
@@ -445,7 +467,11 @@
                     : before;
         }
         ShardTable after = before;
-        for (PlannedMove planned : ShardPlanner.plan(before, targets, load.snapshot(now))) {
+        PlacementPlan plan = ShardPlanner.plan(before, targets, load.windows(now));
+        if (!plan.moves().isEmpty()) {
+            latestPlan = Optional.of(plan);
+        }
+        for (PlannedMove planned : plan.moves()) {
             Assignment owner = after.assignmentOf(planned.range().first()).orElseThrow();
             long fence = after.lastFence() + Move.FENCES;
             after = after.with(new Assignment(
@@ -487,13 +513,32 @@
 
     private double capacityPerSecond(TargetState target, double mean, long now) {
         double millis =
-                Math.clamp(target.longTermServiceMillis(mean), mean * MIN_LATENCY_RATIO, mean * MAX_LATENCY_RATIO);
+                Math.clamp(target.plannedServiceMillis(mean), mean * MIN_LATENCY_RATIO, mean * MAX_LATENCY_RATIO);
         double requestsPerSecond = target.entry().slots() * MILLIS_PER_SECOND / millis;
         return target.cold(now)
                 ? Math.min(requestsPerSecond, spec.coldPerSecond() * COLD_CAPACITY_SHARE)
                 : requestsPerSecond;
     }
 
+    /** Returns the service whose keys are granted. */
+    public ServiceName service() {
+        return service;
+    }
+
+    /** Returns the latest plan with moves, once. */
+    public Optional<PlacementPlan> takePlan() {
+        Optional<PlacementPlan> taken = latestPlan;
+        latestPlan = Optional.empty();
+        return taken;
+    }
+
+    /** Returns the moves that ended since the last call. */
+    public List<EndedMove> takeEndedMoves() {
+        List<EndedMove> taken = List.copyOf(endedMoves);
+        endedMoves.clear();
+        return taken;
+    }
+
     public ShardTable table() {
         return table;
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/MoveProgress.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/MoveProgress.java
@@ -1,5 +1,7 @@
 package org.dragonflymux.core.shard;
 
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.Optional;
 
 /** The progress of the move of one range. */
@@ -24,8 +26,12 @@
     private boolean callOutstanding;
     private long retryAt = Long.MIN_VALUE;
     private Optional<String> handover = Optional.empty();
+    private final Map<Step, Long> stepMillis = new EnumMap<>(Step.class);
+    private long measuredUntil;
+    private boolean reported;
 
-    MoveProgress(Step first, long ownerIncarnation, long expiresAt) {
+    MoveProgress(Step first, long ownerIncarnation, long expiresAt, long now) {
+        this.measuredUntil = now;
         this.step = first;
         this.ownerIncarnation = ownerIncarnation;
         this.expiresAt = expiresAt;
@@ -35,6 +41,24 @@
         return step;
     }
 
+    /** Adds the time since the last call to the present step. */
+    void measure(long now) {
+        stepMillis.merge(step, Math.max(0, now - measuredUntil), Long::sum);
+        measuredUntil = now;
+    }
+
+    /** Returns how long a step has taken so far, in milliseconds. */
+    long millisIn(Step measured) {
+        return stepMillis.getOrDefault(measured, 0L);
+    }
+
+    /** Returns whether the end of the move is to be reported, which is true once. */
+    boolean takeEnd() {
+        boolean first = step == Step.DONE && !reported;
+        reported = reported || first;
+        return first;
+    }
+
     /** Returns whether the old owner may still hold the keys. */
     boolean waitsForOwner() {
         return switch (step) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlacementPlan.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlacementPlan.java
@@ -13,11 +13,7 @@
  * @param limit what held back further moves
  */
 public record PlacementPlan(
-        List<PlannedMove> moves,
-        double busiestUtilization,
-        double meanUtilization,
-        int movesInProgress,
-        Limit limit) {
+        List<PlannedMove> moves, double busiestUtilization, double meanUtilization, int movesInProgress, Limit limit) {
 
     /** The plan of a service without targets. */
     static final PlacementPlan NONE = new PlacementPlan(List.of(), 0, 0, 0, Limit.NO_OTHER_TARGET);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlanningRun.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlanningRun.java
@@ -22,11 +22,13 @@
 
     /** The most moves away from lost targets in progress, if there are fewer targets that can take keys. */
     private static final int MIN_EVACUATION_LIMIT = 64;
+
     private static final double HIGH_UTILIZATION = 0.4;
     /** Above this utilization requests wait so long that some are refused. */
     private static final double OVERLOADED = 0.9;
     /** The range of n normal samples, in standard deviations of a difference and roots of ln n, for 2 to 100 samples. */
     private static final double RANGE_FACTOR = 1.8;
+
     private static final double MIN_UTILIZATION_RATIO = 1.35;
     private static final double MIN_UTILIZATION_GAIN = 0.12;
     private static final int MAX_CONSOLIDATIONS_PER_PLAN = 8;
@@ -55,13 +57,13 @@
     /** A hot key moves to a target that is faster by this factor; less is not worth its move. */
     private static final double FASTER_TARGET_RATIO = 1.25;
 
-
     private final ShardTable table;
     private final Map<TargetId, PlanTarget> targets = new HashMap<>();
     private final Map<TargetId, Integer> keyCounts = new HashMap<>();
     private final List<PlannedMove> moves = new ArrayList<>();
     /** The parts of assignments that don't move, by owner. */
     private final Map<TargetId, List<KeyRange>> settledRanges = new HashMap<>();
+
     private final TargetLoads loads;
     private final int usableTargets;
     private final double meanCapacity;
@@ -79,8 +81,7 @@
             keyCounts.put(target.id(), 0);
         }
         this.loads = new TargetLoads(windows, ownedRanges());
-        this.usableTargets =
-                (int) targets.stream().filter(PlanTarget::usable).count();
+        this.usableTargets = (int) targets.stream().filter(PlanTarget::usable).count();
         this.meanCapacity = targets.stream()
                 .mapToDouble(PlanTarget::capacityPerSecond)
                 .average()
@@ -119,10 +120,10 @@
                 continue;
             }
             activeMoves++;
-            // Moves away from lost targets may take a long time, and delay no request that could be served without them.
+            // Moves away from lost targets may take a long time, and delay no request that could be served without
+            // them.
             if (ownerUsable(assignment)) {
-                movingRequestsPerSecond +=
-                        loads.window(nextOwner).requestsPerSecond(assignment.range()) + MOVE_COST_REQUESTS_PER_SECOND;
+                movingRequestsPerSecond += load(nextOwner, assignment.range()) + MOVE_COST_REQUESTS_PER_SECOND;
             }
         }
     }
@@ -167,7 +168,7 @@
     }
 
     private double load(TargetId owner, KeyRange range) {
-        return loads.window(owner).requestsPerSecond(range);
+        return loads.of(owner, range).requestsPerSecond();
     }
 
     /** Returns the next owner of a piece; a small piece goes to the owner of an adjacent range to allow a merge. */
@@ -239,7 +240,7 @@
 
     private List<KeyRange> pieces(Assignment assignment, double loadPerPiece) {
         KeyRange range = assignment.range();
-        KeyLoad.Snapshot load = loads.window(assignment.owner());
+        KeyLoad.Snapshot load = loads.window(assignment.owner(), range);
         double inRange = load.requestsPerSecond(range);
         int fairSize = KeyRange.ALL.size() / targets.size() + 1;
         int bySize = (range.size() + fairSize - 1) / fairSize;
@@ -299,24 +300,21 @@
                 .findFirst()
                 .orElseThrow();
         settled.remove(whole);
-        if (whole.first() < range.first()) {
-            settled.add(new KeyRange(whole.first(), range.first() - 1));
-        }
-        if (range.last() < whole.last()) {
-            settled.add(new KeyRange(range.last() + 1, whole.last()));
-        }
+        settled.addAll(without(range, whole));
         move(range, from, to);
     }
 
     /**
-     * Returns how many requests per second may wait for moves. Those beyond the capacity of their owners would be refused, so
-     * that a move only helps them.
+     * Returns how many requests per second may wait for moves. Those of overloaded targets don't count: they would wait in a
+     * queue for longer than for a move, or be refused.
      */
     private double maxMovingRequestsPerSecond() {
-        double beyondCapacity = targets.values().stream()
-                .mapToDouble(target -> Math.max(0, loads.requestsPerSecond(target.id()) - target.capacityPerSecond()))
+        double atOverloadedTargets = targets.values().stream()
+                .mapToDouble(target -> loads.requestsPerSecond(target.id()) > OVERLOADED * target.capacityPerSecond()
+                        ? loads.requestsPerSecond(target.id())
+                        : 0)
                 .sum();
-        return DELAYED_SHARE * loads.total() + beyondCapacity;
+        return DELAYED_SHARE * loads.total() + atOverloadedTargets;
     }
 
     private Limit balance() {
@@ -347,10 +345,11 @@
             }
             double room = room(source, destination);
             Optional<KeyRange> range = mostEfficientRange(source, room);
-            if (range.isPresent() && utilizationAfter(range.get(), source, destination) + MIN_UTILIZATION_GAIN
-                    <= utilization(source)) {
+            if (range.isPresent()
+                    && utilizationAfter(range.get(), source, destination) + MIN_UTILIZATION_GAIN
+                            <= utilization(source)) {
                 balancingMove(range.get(), source, destination.id());
-            } else if (room < 2 * loads.window(source).sampleWeight()) {
+            } else if (room < smallestMovableLoad(source)) {
                 full.add(destination.id());
             } else {
                 limit = Limit.NO_FITTING_RANGE;
@@ -360,6 +359,15 @@
         return limit;
     }
 
+    /** Returns the load of two requests in the window by which the ranges of a target are chosen. */
+    private double smallestMovableLoad(TargetId source) {
+        return 2
+                * settledRanges.get(source).stream()
+                        .mapToDouble(range -> loads.window(source, range).sampleWeight())
+                        .max()
+                        .orElse(0);
+    }
+
     private TargetId mostUtilized(Set<TargetId> sources) {
         return sources.stream()
                 .max(Comparator.comparingDouble(this::utilization).thenComparing(Comparator.naturalOrder()))
@@ -389,31 +397,74 @@
     }
 
     /**
-     * Moves the busiest key of a target to the fastest suitable one, if it is more than its owner can serve. The other keys
-     * of both targets then move away, as from any other highly utilized target.
+     * Moves a key that is more than its owner can serve to the fastest suitable target, or, if it is there, the other keys of
+     * its owner elsewhere.
      */
     private boolean isolateHotKey(TargetId owner) {
-        PlanTarget current = targets.get(owner);
-        if (utilization(owner) < 1) {
+        Optional<KeyRange> hotKey = tooHotKey(owner);
+        if (hotKey.isEmpty()) {
             return false;
         }
-        KeyLoad.Snapshot window = loads.window(owner);
-        Optional<KeyRange> hottest = settledRanges.get(owner).stream()
-                .flatMap(range -> busiestKey(window, range).stream())
-                .max(Comparator.comparingDouble(window::requestsPerSecond));
-        double hottestLoad = hottest.map(window::requestsPerSecond).orElse(0.0);
-        if (hottestLoad - 2 * Math.sqrt(hottestLoad * window.sampleWeight()) < current.capacityPerSecond()) {
-            return false;
+        Optional<PlanTarget> faster = fasterTarget(targets.get(owner));
+        if (faster.isPresent()) {
+            balancingMove(hotKey.get(), owner, faster.get().id());
+            return true;
+        }
+        return moveNeighbours(hotKey.get(), owner);
+    }
+
+    private Optional<KeyRange> tooHotKey(TargetId owner) {
+        if (utilization(owner) < 1) {
+            return Optional.empty();
         }
-        Optional<PlanTarget> fastest = targets.values().stream()
+        return settledRanges.get(owner).stream()
+                .flatMap(range -> busiestKey(loads.window(owner, range), range).stream())
+                .max(Comparator.comparingDouble(key -> load(owner, key)))
+                .filter(key -> certainLoad(owner, key) > targets.get(owner).capacityPerSecond());
+    }
+
+    /** Returns the load of a range without what may be due to chance. */
+    private double certainLoad(TargetId owner, KeyRange range) {
+        TargetLoads.Load load = loads.of(owner, range);
+        return load.requestsPerSecond() - 2 * Math.sqrt(load.variance());
+    }
+
+    private Optional<PlanTarget> fasterTarget(PlanTarget current) {
+        return targets.values().stream()
                 .filter(PlanTarget::usable)
                 .filter(target -> target.capacityPerSecond() >= current.capacityPerSecond() * FASTER_TARGET_RATIO)
                 .filter(target -> utilization(target.id()) < fillLevel())
                 .max(Comparator.comparingDouble(PlanTarget::capacityPerSecond)
                         .thenComparing(target -> -utilization(target.id()))
                         .thenComparing(PlanTarget::id));
-        fastest.ifPresent(target -> balancingMove(hottest.orElseThrow(), owner, target.id()));
-        return fastest.isPresent();
+    }
+
+    /** Moves the other ranges with requests away from the owner of a hot key, as far as others have room. */
+    private boolean moveNeighbours(KeyRange hotKey, TargetId owner) {
+        boolean moved = false;
+        for (KeyRange whole : List.copyOf(settledRanges.get(owner))) {
+            for (KeyRange part : without(hotKey, whole)) {
+                Optional<PlanTarget> destination = leastUtilized(owner)
+                        .filter(to -> load(owner, part) > 0 && utilizationAfter(part, owner, to) < fillLevel());
+                destination.ifPresent(to -> balancingMove(part, owner, to.id()));
+                moved = moved || destination.isPresent();
+            }
+        }
+        return moved;
+    }
+
+    private static List<KeyRange> without(KeyRange part, KeyRange whole) {
+        if (!whole.contains(part)) {
+            return List.of(whole);
+        }
+        List<KeyRange> parts = new ArrayList<>();
+        if (whole.first() < part.first()) {
+            parts.add(new KeyRange(whole.first(), part.first() - 1));
+        }
+        if (part.last() < whole.last()) {
+            parts.add(new KeyRange(part.last() + 1, whole.last()));
+        }
+        return parts;
     }
 
     private static Optional<KeyRange> busiestKey(KeyLoad.Snapshot window, KeyRange range) {
@@ -436,7 +487,7 @@
     private boolean improvesBalance(TargetId mostUtilized, TargetId destination) {
         double most = utilization(mostUtilized);
         double gain = most - utilization(destination);
-        return most > HIGH_UTILIZATION
+        return most > Math.max(HIGH_UTILIZATION, (meanUtilization + fillLevel()) / 2)
                         && most > MIN_UTILIZATION_RATIO * utilization(destination)
                         && gain > Math.max(MIN_UTILIZATION_GAIN, differenceByChance(mostUtilized, destination))
                 || keyCounts.get(destination) == 0 && most > 0;
@@ -454,16 +505,16 @@
     }
 
     private double deviation(TargetId id) {
-        return Math.sqrt(loads.variance(id)) / Math.max(0.1, weightedCapacity(targets.get(id)));
+        return Math.sqrt(loads.of(id).variance()) / Math.max(0.1, weightedCapacity(targets.get(id)));
     }
 
     /** Returns the range with the best ratio of load to cost of those with nearly, but at most, the given load. */
     private Optional<KeyRange> mostEfficientRange(TargetId from, double maxRequestsPerSecond) {
-        KeyLoad.Snapshot load = loads.window(from);
-        int maxRequests = (int) (maxRequestsPerSecond / load.sampleWeight());
         KeyRange bestRange = null;
         double bestValue = 0;
         for (KeyRange whole : settledRanges.get(from)) {
+            KeyLoad.Snapshot load = loads.window(from, whole);
+            int maxRequests = (int) (maxRequestsPerSecond / load.sampleWeight());
             int begin = load.indexOf(whole.first());
             int end = load.indexOf(whole.last() + 1);
             int count = Math.min(maxRequests, end - begin);
@@ -474,7 +525,7 @@
                         i == begin ? whole.first() : busy.first(), i + count == end ? whole.last() : busy.last());
                 for (KeyRange candidate : List.of(busy, wide)) {
                     int requests = load.requestsIn(candidate);
-                    double value = requests / cost(candidate, whole);
+                    double value = requests * load.sampleWeight() / cost(candidate, whole);
                     // The first and the last key may have more requests than those that were counted off.
                     if (value > bestValue && requests <= maxRequests) {
                         bestRange = candidate;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -15,6 +15,7 @@
 import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.membership.MembershipStateMachine;
 import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.shard.EndedMove;
 import org.dragonflymux.core.shard.GrantEffect;
 import org.dragonflymux.core.shard.GrantResult;
 import org.dragonflymux.core.shard.GrantSettings;
@@ -34,6 +35,7 @@
 
     private static final Logger LOG = LogManager.getLogger(GrantLoop.class);
     private static final long RELEASE_TIMEOUT_MILLIS = 4_000;
+    private static final double PERCENT = 100;
 
     private final StoreClient store;
     private final GrantClient grantClient;
@@ -171,6 +173,7 @@
     }
 
     private void run(GrantStateMachine grantStateMachine, List<GrantEffect> effects) {
+        logPlacement(grantStateMachine);
         for (GrantEffect effect : effects) {
             switch (effect) {
                 case GrantEffect.Persist persist -> persist(grantStateMachine, persist);
@@ -198,6 +201,33 @@
         }
     }
 
+    private static void logPlacement(GrantStateMachine grantStateMachine) {
+        grantStateMachine
+                .takePlan()
+                .ifPresent(plan -> LOG.info(
+                        "event=placement_planned service={} moves={} busiestPercent={} meanPercent={} inProgress={} limit={}",
+                        grantStateMachine.service(),
+                        plan.moves().size(),
+                        Math.round(PERCENT * plan.busiestUtilization()),
+                        Math.round(PERCENT * plan.meanUtilization()),
+                        plan.movesInProgress(),
+                        plan.limit()));
+        for (EndedMove move : grantStateMachine.takeEndedMoves()) {
+            LOG.info(
+                    "event=move_ended service={} range={} from={} to={} fenceMs={} releaseMs={} expiryMs={} grantMs={}"
+                            + " handover={}",
+                    grantStateMachine.service(),
+                    move.range(),
+                    move.from(),
+                    move.to(),
+                    move.fenceMillis(),
+                    move.releaseMillis(),
+                    move.expiryMillis(),
+                    move.grantMillis(),
+                    move.handover());
+        }
+    }
+
     private static void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
         if (!(result instanceof GrantResult.Done)) {
             LOG.info("event=grant_failed grant={} result={}", grant, result);
