--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementModel.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementModel.java
@@ -55,7 +55,7 @@
     /**
      * What happened in a period.
      *
-     * @param returnedKeys how often a key moved back to the owner that it had before the present one
+     * @param returnedKeys how often a key moved back to the owner before the present one, within the period
      * @param lastMoveMillis when the last move was planned, from the start of the period
      */
     record Outcome(
@@ -183,6 +183,7 @@
         double[] cumulative = weights.clone();
         Arrays.parallelPrefix(cumulative, Double::sum);
         double start = now;
+        Arrays.fill(previousOwners, null);
         Count count = new Count();
         double mean = MILLIS_PER_SECOND / service.requestsPerSecond();
         while (now < start + millis) {
