--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlanningRun.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlanningRun.java
@@ -24,6 +24,8 @@
     private static final int MIN_EVACUATION_LIMIT = 64;
 
     private static final double HIGH_UTILIZATION = 0.4;
+    /** Targets give load away above this share of the way from the mean utilization to the fill level. */
+    private static final double SOURCE_LEVEL_SHARE = 0.75;
     /** Above this utilization requests wait so long that some are refused. */
     private static final double OVERLOADED = 0.9;
     /** The range of n normal samples, in standard deviations of a difference and roots of ln n, for 2 to 100 samples. */
@@ -37,8 +39,13 @@
     /** Above this number of assignments per target, small ranges move to the owners of adjacent ranges. */
     private static final int CONSOLIDATE_ABOVE_PER_TARGET = 2;
 
-    /** A range is quiet if its load is below this share of the mean capacity. */
+    /**
+     * A range is quiet if its load is below this share of the mean capacity. Quiet ranges move only to be merged, and others only
+     * for the balance, so that neither undoes the other.
+     */
     private static final double QUIET_LOAD_SHARE = 0.05;
+    /** The busiest of many small ranges looks busier than it is by about as many deviations of its count. */
+    private static final double SELECTION_DEVIATIONS = 1.5;
 
     private static final double PIECES_PER_TARGET = 3;
     /** The fixed cost of a move, expressed as a number of keys. */
@@ -235,7 +242,7 @@
 
     /** Returns whether the next owner of a range would hardly notice its load; a busy range would soon move away again. */
     private boolean quiet(Assignment assignment) {
-        return load(assignment.owner(), assignment.range()) < QUIET_LOAD_SHARE * meanCapacity;
+        return loads.highest(assignment.range()) < QUIET_LOAD_SHARE * meanCapacity;
     }
 
     private List<KeyRange> pieces(Assignment assignment, double loadPerPiece) {
@@ -383,6 +390,11 @@
         return Math.max(meanUtilization, (1 + meanUtilization) / 2);
     }
 
+    /** Returns the utilization above which targets give load away; less spread hardly delays requests. */
+    private double sourceLevel() {
+        return meanUtilization + SOURCE_LEVEL_SHARE * (fillLevel() - meanUtilization);
+    }
+
     /** Returns how much load to move from one target to another, in requests per second. */
     private double room(TargetId from, PlanTarget to) {
         PlanTarget source = targets.get(from);
@@ -487,7 +499,7 @@
     private boolean improvesBalance(TargetId mostUtilized, TargetId destination) {
         double most = utilization(mostUtilized);
         double gain = most - utilization(destination);
-        return most > Math.max(HIGH_UTILIZATION, (meanUtilization + fillLevel()) / 2)
+        return most > Math.max(HIGH_UTILIZATION, sourceLevel())
                         && most > MIN_UTILIZATION_RATIO * utilization(destination)
                         && gain > Math.max(MIN_UTILIZATION_GAIN, differenceByChance(mostUtilized, destination))
                 || keyCounts.get(destination) == 0 && most > 0;
@@ -515,6 +527,7 @@
         for (KeyRange whole : settledRanges.get(from)) {
             KeyLoad.Snapshot load = loads.window(from, whole);
             int maxRequests = (int) (maxRequestsPerSecond / load.sampleWeight());
+            double minRequests = minMovedLoad(from) / load.sampleWeight();
             int begin = load.indexOf(whole.first());
             int end = load.indexOf(whole.last() + 1);
             int count = Math.min(maxRequests, end - begin);
@@ -525,9 +538,11 @@
                         i == begin ? whole.first() : busy.first(), i + count == end ? whole.last() : busy.last());
                 for (KeyRange candidate : List.of(busy, wide)) {
                     int requests = load.requestsIn(candidate);
-                    double value = requests * load.sampleWeight() / cost(candidate, whole);
+                    double value = expectedRequests(requests, candidate, end - begin, whole)
+                            * load.sampleWeight()
+                            / cost(candidate, whole);
                     // The first and the last key may have more requests than those that were counted off.
-                    if (value > bestValue && requests <= maxRequests) {
+                    if (value > bestValue && requests <= maxRequests && requests >= minRequests) {
                         bestRange = candidate;
                         bestValue = value;
                     }
@@ -537,6 +552,24 @@
         return Optional.ofNullable(bestRange);
     }
 
+    /** Returns the least load worth a move, which is less for an overloaded target of small capacity, such as a cold one. */
+    private double minMovedLoad(TargetId from) {
+        double capacity = utilization(from) > OVERLOADED
+                ? Math.min(meanCapacity, targets.get(from).capacityPerSecond())
+                : meanCapacity;
+        return QUIET_LOAD_SHARE * capacity;
+    }
+
+    /**
+     * Returns how many requests to expect for a part that was selected by its count. Under an even load, narrow ranges around the
+     * requests that were sampled have no more load than others: moving those left all of it where it was.
+     */
+    private static double expectedRequests(int requests, KeyRange part, int requestsOfWhole, KeyRange whole) {
+        double ifEven = (double) requestsOfWhole * part.size() / whole.size();
+        double certain = requests - SELECTION_DEVIATIONS * Math.sqrt(requests);
+        return Math.max(certain, Math.min(requests, ifEven));
+    }
+
     /** Returns the cost of moving a range, in keys: the moved keys, a fixed cost, and the added assignments. */
     private double cost(KeyRange part, KeyRange whole) {
         int added = (part.first() > whole.first() ? 1 : 0) + (part.last() < whole.last() ? 1 : 0);
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetLoads.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetLoads.java
@@ -125,6 +125,14 @@
         return windows.get(chosen);
     }
 
+    /** Returns the load of a range in the window in which it is highest. */
+    double highest(KeyRange range) {
+        return windows.stream()
+                .mapToDouble(window -> window.requestsPerSecond(range))
+                .max()
+                .orElse(0);
+    }
+
     double total() {
         return loads.values().stream().mapToDouble(Load::requestsPerSecond).sum();
     }
