--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardPlanner.java
@@ -59,7 +59,16 @@
      * @param windows the load of windows that end now, the shortest first
      */
     public static PlacementPlan plan(ShardTable table, List<PlanTarget> targets, List<KeyLoad.Snapshot> windows) {
-        return targets.isEmpty() ? PlacementPlan.NONE : new PlanningRun(table, targets, windows).plan();
+        if (targets.isEmpty()) {
+            return PlacementPlan.NONE;
+        }
+        PlanningState state = new PlanningState(table, targets, windows);
+        double busiest = state.busiestUtilization();
+        Evacuation evacuation = new Evacuation(state);
+        evacuation.evacuateUnusableTargets();
+        PlacementPlan.Limit limit = new Balancing(state).balance();
+        evacuation.consolidate();
+        return new PlacementPlan(List.copyOf(state.moves), busiest, state.meanUtilization, state.activeMoves, limit);
     }
 
     /**
