A host that relays updates tells its subscribers that it is alive while the store is away

Cause: while the store is silent, the grantor has nothing new to tell, and the collectors pass on only what is new.

Change: a host that gets a timestamp of a subscriber and has sent it nothing for 500 ms answers with an empty frame. Only the pair exchanges it, so hosts that follow each other don't pass it on.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
@@ -36,17 +36,24 @@
     private static final int MAX_FRAME_BYTES = 32 << 20;
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final ReceivedTimestamp NO_TIMESTAMP = new ReceivedTimestamp(0, 0);
+    /** A subscriber that got nothing for this long is told that this host is alive. */
+    private static final long MAX_QUIET_MILLIS = 500;
 
     private final EventLoop loop;
     private final LeaseClock leaseClock;
     private final HoldClock holdClock;
-    private final Map<Channel, ReceivedTimestamp> subscribers = new HashMap<>();
+    private final Map<Channel, SubscriberState> subscribers = new HashMap<>();
     private Optional<InetSocketAddress> source = Optional.empty();
     private Channel subscription;
 
     /** The latest timestamp of a subscriber, by its clock, and the time of arrival, by the clock of this host. */
     private record ReceivedTimestamp(long time, long receivedAt) {}
 
+    private static final class SubscriberState {
+        private ReceivedTimestamp timestamp = NO_TIMESTAMP;
+        private long sentAt;
+    }
+
     /**
      * Creates a relay.
      *
@@ -63,8 +70,9 @@
      * Accepts subscribers on the given address.
      *
      * @param initialFrame supplies the first frame for a new subscriber
+     * @param emptyFrame supplies the frame for a subscriber that has got nothing for a while
      */
-    void listen(InetSocketAddress address, Supplier<RelayFrame> initialFrame) {
+    void listen(InetSocketAddress address, Supplier<RelayFrame> initialFrame, Supplier<RelayFrame> emptyFrame) {
         new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
@@ -73,7 +81,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        addFraming(channel, Long.BYTES).pipeline().addLast(new Subscriber(initialFrame));
+                        addFraming(channel, Long.BYTES).pipeline().addLast(new Subscriber(initialFrame, emptyFrame));
                     }
                 })
                 .bind(address)
@@ -102,6 +110,7 @@
             subscriber.close();
             return;
         }
+        Optional.ofNullable(subscribers.get(subscriber)).ifPresent(state -> state.sentAt = holdClock.nowMillis());
         try {
             subscriber.writeAndFlush(frame.withEcho(echoTimestamp(subscriber)).encode());
         } catch (IOException unwritable) {
@@ -111,6 +120,7 @@
 
     private Optional<RelayFrame.EchoTimestamp> echoTimestamp(Channel subscriber) {
         return Optional.ofNullable(subscribers.get(subscriber))
+                .map(state -> state.timestamp)
                 .filter(received -> received != NO_TIMESTAMP)
                 .map(received ->
                         new RelayFrame.EchoTimestamp(received.time(), holdClock.nowMillis() - received.receivedAt()));
@@ -153,23 +163,33 @@
     private final class Subscriber extends SimpleChannelInboundHandler<ByteBuf> {
 
         private final Supplier<RelayFrame> initialFrame;
+        private final Supplier<RelayFrame> emptyFrame;
 
-        Subscriber(Supplier<RelayFrame> initialFrame) {
+        Subscriber(Supplier<RelayFrame> initialFrame, Supplier<RelayFrame> emptyFrame) {
             this.initialFrame = initialFrame;
+            this.emptyFrame = emptyFrame;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            subscribers.put(context.channel(), NO_TIMESTAMP);
+            subscribers.put(context.channel(), new SubscriberState());
             send(context.channel(), initialFrame.get());
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf timestamp) {
-            if (timestamp.readableBytes() == Long.BYTES) {
-                subscribers.put(context.channel(), new ReceivedTimestamp(timestamp.readLong(), holdClock.nowMillis()));
-            } else {
+            SubscriberState state = subscribers.get(context.channel());
+            if (timestamp.readableBytes() != Long.BYTES || state == null) {
                 context.close();
+                return;
+            }
+            long now = holdClock.nowMillis();
+            state.timestamp = new ReceivedTimestamp(timestamp.readLong(), now);
+            // While the store is away there is nothing new to relay. A subscriber that hears nothing would turn to
+            // another
+            // host, which then sends it a snapshot.
+            if (now - state.sentAt >= MAX_QUIET_MILLIS) {
+                send(context.channel(), emptyFrame.get());
             }
         }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -106,7 +106,7 @@
             InetSocketAddress relayAddress,
             Listener listener) {
         StoreMirror mirror = new StoreMirror(loop, store, prefix, watchMillis, clock, holdClock, listener);
-        mirror.relay.listen(relayAddress, mirror::snapshot);
+        mirror.relay.listen(relayAddress, mirror::snapshot, () -> mirror.frame(false, List.of()));
         mirror.read();
         return mirror;
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
@@ -34,6 +34,8 @@
      * again, since relays and a slow answer take time as well.
      */
     private static final long MAX_RETURN_MILLIS = 1_500;
+    /** A source of updates that says nothing for longer is taken for lost. */
+    private static final long MAX_SILENCE_MILLIS = 1_400;
 
     private static final AtomicInteger PORTS = new AtomicInteger(7_100);
 
@@ -219,6 +221,29 @@
         assertThat(store.unansweredWatches).hasValueGreaterThanOrEqualTo(count);
     }
 
+    /**
+     * Guards against a fleet that turns from its collectors to the grantor while the store is silent, because the collectors
+     * have nothing new to tell. The grantor then sends a snapshot to every host.
+     */
+    @Test
+    void a_source_without_news_is_not_silent() throws Exception {
+        InetSocketAddress first = unusedAddress();
+        InetSocketAddress second = unusedAddress();
+        Recorder last = new Recorder();
+        mirror(first, Optional.empty(), new Recorder());
+        mirror(second, Optional.of(first), new Recorder());
+        mirror(unusedAddress(), Optional.of(second), last);
+        store.write("a");
+        awaitKey(last, "a");
+
+        store.silent = true;
+        Thread.sleep(5 * WATCH_MILLIS);
+        int before = last.updates.get();
+        Thread.sleep(3 * MAX_SILENCE_MILLIS);
+
+        assertThat(last.updates.get() - before).isGreaterThanOrEqualTo(3);
+    }
+
     /** Guards against hosts that burden a store which is slow to answer with ever more calls. */
     @Test
     void a_silent_store_gets_few_calls() throws Exception {
