A grantor logs each planned move once and limits lines of failed grants

Cause: each write of a table logged all moves in progress again, 650 to 960 lines a second while keys moved, and a grantor without its lease logged up to 750 failed renewals a second. Log lines take processor time on hosts with a quarter of a core.

Change: a move is logged with the table that begins it; lines of failed grants are limited like those of requests, and the number of lines left out is logged. No test: only log lines change.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RateLimitedLog.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RateLimitedLog.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.Logger;
 
-/** A log of request events that is limited to a number of lines per second and reports how many lines it suppressed. */
-final class RateLimitedLog {
+/** A log of frequent events that is limited to a number of lines per second and reports how many lines it suppressed. */
+public final class RateLimitedLog {
 
     private static final int LINES_PER_SECOND = 20;
 
@@ -13,11 +13,17 @@
     private long linesSuppressed;
     private long intervalEnd;
 
-    RateLimitedLog(Logger log) {
+    private RateLimitedLog(Logger log) {
         this.log = log;
     }
 
-    void info(String message, Object... parameters) {
+    /** Returns a limited log that writes to the given one. */
+    public static RateLimitedLog to(Logger log) {
+        return new RateLimitedLog(log);
+    }
+
+    /** Writes a line, unless too many were written since the last interval began. */
+    public void info(String message, Object... parameters) {
         if (linesWritten < LINES_PER_SECOND) {
             linesWritten++;
             log.info(message, parameters);
@@ -26,7 +32,8 @@
         }
     }
 
-    void tick(long now) {
+    /** Reports suppressed lines and begins the next interval, if one has ended by the given time in milliseconds. */
+    public void tick(long now) {
         if (now < intervalEnd) {
             return;
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -48,7 +48,7 @@
     private final TargetMessages messages;
     private final HeaderNames names;
     private final HostClock clock;
-    private final RateLimitedLog log = new RateLimitedLog(LogManager.getLogger(RequestPath.class));
+    private final RateLimitedLog log = RateLimitedLog.to(LogManager.getLogger(RequestPath.class));
     private final Map<Long, OpenRequest> openRequests = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private final Map<RefusalReason, Integer> refusals = new EnumMap<>(RefusalReason.class);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -15,12 +16,14 @@
 import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.membership.MembershipStateMachine;
 import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.shard.Assignment;
 import org.dragonflymux.core.shard.EndedMove;
 import org.dragonflymux.core.shard.GrantEffect;
 import org.dragonflymux.core.shard.GrantResult;
 import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.core.shard.GrantStateMachine;
 import org.dragonflymux.core.shard.ShardTable;
+import org.dragonflymux.gateway.RateLimitedLog;
 import org.dragonflymux.gateway.clock.HoldClock;
 import org.dragonflymux.gateway.clock.LeaseClock;
 import org.dragonflymux.gateway.store.StoreClient;
@@ -47,6 +50,9 @@
     private final BiConsumer<ServiceName, ShardTable> tableListener;
     private final Map<ServiceName, GrantStateMachine> grantStateMachines = new HashMap<>();
     private final Map<ServiceName, StoredTable> tables = new HashMap<>();
+    /** Without its lease, a grantor has hundreds of failed renewals a second. */
+    private final RateLimitedLog failures = RateLimitedLog.to(LOG);
+
     private Optional<GrantorTerm> term = Optional.empty();
     private long termKnownSince;
 
@@ -164,6 +170,7 @@
 
     /** Runs the state machines and carries out the effects that are due. */
     void tick() {
+        failures.tick(leaseClock.nowMillis());
         grantStateMachines.values().forEach(this::tick);
     }
 
@@ -228,9 +235,9 @@
         }
     }
 
-    private static void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
+    private void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
         if (!(result instanceof GrantResult.Done)) {
-            LOG.info("event=grant_failed grant={} result={}", grant, result);
+            failures.info("event=grant_failed grant={} result={}", grant, result);
         }
     }
 
@@ -241,8 +248,11 @@
     }
 
     private void persist(GrantStateMachine grantStateMachine, GrantEffect.Persist persist) {
+        Set<Assignment> stored = Optional.ofNullable(tables.get(persist.service()))
+                .map(known -> Set.copyOf(known.table().assignments()))
+                .orElse(Set.of());
         persist.table().assignments().stream()
-                .filter(assignment -> assignment.move().isPresent())
+                .filter(assignment -> assignment.move().isPresent() && !stored.contains(assignment))
                 .forEach(assignment -> LOG.info("event=move_planned assignment={}", assignment));
         String key = FleetRecords.tableKey(persist.service());
         long termRevision = membership.activeTerm().map(GrantorTerm::revision).orElseThrow();
