Tell the epochs of a store apart that comes back from a copy

Cause: a restored store gives revisions and lease ids out again, so the same numbers named other terms, tables and leases, and an older table with lower fencing tokens was granted by.

Answers under another epoch than their call's are not acknowledged. The first term of a new epoch waits for all grantors of the earlier one, and writes the tables anew under tokens above a floor derived from the epoch. The grantor whose lease was valid up to the restore goes on by its own table at once. New lenders wait for the leases of lost ones. The simulation takes the store down and brings it back from a copy.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
@@ -17,6 +17,20 @@
     /** Since when this host has known the record of the last term, which is no earlier than its write. */
     private long knownSince;
 
+    /** Whether no host has claimed the role in the present epoch. */
+    private boolean beginsEpoch = true;
+
+    private long epoch = -1;
+    /** Whether this host has seen the store come back from a copy. */
+    private boolean restoreSeen;
+    /**
+     * The former grantors of this host's term in the epoch before, and since when they are known, if this host was the only
+     * grantor until the store came back in the present epoch.
+     */
+    private Optional<FormerGrantors> formerBeforeRestore = Optional.empty();
+
+    private long formerBeforeRestoreKnownSince;
+
     private GrantorSuccession(FleetMember self, long renewalGraceMillis) {
         this.self = self;
         this.renewalGraceMillis = renewalGraceMillis;
@@ -31,6 +45,23 @@
         return new GrantorSuccession(self, renewalGraceMillis);
     }
 
+    /**
+     * Records the epoch of the store's content.
+     *
+     * @param soleGrantor whether the lease of this host's term was still known to be valid in the epoch before, so that no other
+     *     host was the grantor up to the end of that one
+     */
+    public void epochRead(long readEpoch, boolean soleGrantor) {
+        if (readEpoch > epoch) {
+            restoreSeen = epoch >= 0;
+            formerBeforeRestore = restoreSeen && soleGrantor && readEpoch == epoch + 1
+                    ? lastTerm.map(GrantorTerm::formerGrantors)
+                    : Optional.empty();
+            formerBeforeRestoreKnownSince = knownSince;
+            epoch = readEpoch;
+        }
+    }
+
     /**
      * Records the last term, which may have ended.
      *
@@ -39,7 +70,9 @@
      */
     public void lastTermChanged(Optional<GrantorTerm> term, long revision, long now) {
         if (revision != lastTermRevision) {
-            lastTerm = term;
+            // A term of an earlier epoch says nothing of the terms that the store has lost.
+            lastTerm = term.filter(last -> !last.restored());
+            beginsEpoch = revision == 0 || term.filter(GrantorTerm::restored).isPresent();
             lastTermRevision = revision;
             knownSince = now;
         }
@@ -47,7 +80,13 @@
 
     /** Returns the former grantors of a term that this host claims now. */
     public FormerGrantors formerGrantors(Map<HostId, FleetMember> members, long now) {
-        if (lastTermRevision == 0) {
+        if (beginsEpoch && formerBeforeRestore.isPresent()) {
+            return formerBeforeRestore
+                    .get()
+                    .remainingAfter(now - formerBeforeRestoreKnownSince)
+                    .without(former -> hasEnded(former, members));
+        }
+        if (lastTermRevision == 0 && !restoreSeen) {
             return FormerGrantors.NONE;
         }
         // An unreadable record may hide any grantor.
@@ -55,6 +94,19 @@
                 .orElse(FormerGrantors.unnamed(renewalGraceMillis));
     }
 
+    /**
+     * Returns whether this host was the only grantor until the store came back in the present epoch, so that the tables it has
+     * in memory name all owners.
+     */
+    public boolean soleGrantorBefore() {
+        return formerBeforeRestore.isPresent();
+    }
+
+    /** Returns whether a term that this host claims now follows a return of the store from a copy, in whichever epoch. */
+    public boolean followsRestore() {
+        return lastTerm.map(last -> last.fenceFloor() > 0).orElse(lastTermRevision == 0 ? restoreSeen : epoch > 0);
+    }
+
     private FormerGrantors formerGrantors(GrantorTerm last, long now) {
         FleetMember holder = last.holder();
         return last.formerGrantors()
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -59,6 +59,10 @@
     private Optional<GrantorTerm> ownTerm = Optional.empty();
 
     private long ownTermConfirmedAt = Long.MIN_VALUE / 2;
+    /** When the last term of this host in an earlier epoch of the store was last confirmed. */
+    private long earlierEpochConfirmedAt = Long.MIN_VALUE / 2;
+
+    private long epoch = -1;
     private Optional<GrantorTerm> activeTerm = Optional.empty();
     private boolean stopping;
 
@@ -84,6 +88,17 @@
         }
     }
 
+    /**
+     * Records the epoch of the store's content, before the records themselves.
+     *
+     * @return whether it is a new one, and the lease of this host's term was known to be valid until now
+     */
+    public boolean epochRead(long readEpoch, long now) {
+        boolean rises = readEpoch > epoch && epoch >= 0;
+        epoch = Math.max(epoch, readEpoch);
+        return rises && termConfirmed(now);
+    }
+
     /** Records the registration of a host. */
     public void memberRegistered(FleetMember member) {
         members.put(member.host(), member);
@@ -112,7 +127,16 @@
         grantor = term;
         grantorRevision = revision;
         Optional<GrantorTerm> own = term.filter(current -> current.holder().sameIncarnation(self));
+        boolean ofEarlierEpoch =
+                ownTerm.filter(held -> StoreEpoch.of(held.revision()) < epoch).isPresent();
+        if (ofEarlierEpoch && term.isEmpty()) {
+            // The store has lost the term. It still renews until its time is over or another term begins, since the
+            // first term
+            // of the new epoch waits for that.
+            return;
+        }
         if (!own.equals(ownTerm)) {
+            earlierEpochConfirmedAt = ofEarlierEpoch && own.isPresent() ? ownTermConfirmedAt : Long.MIN_VALUE / 2;
             ownTerm = own;
             ownTermConfirmedAt = boundToPresentLease(own) ? confirmedAt : Long.MIN_VALUE / 2;
         }
@@ -202,6 +226,14 @@
         return activeTerm.isPresent() && boundToPresentLease(activeTerm) && leaseConfirmed(now);
     }
 
+    /**
+     * Returns whether this host, as the grantor of the present epoch, may still renew what it granted in its last term of an
+     * earlier one.
+     */
+    public boolean renewsEarlierEpoch(long now) {
+        return activeTerm.isPresent() && now < earlierEpochConfirmedAt + renewalGraceMillis;
+    }
+
     /** Returns until when the lease is known to be valid, with a margin for a local clock slower than the store's. */
     public long leaseValidUntil() {
         return stopping ? Long.MIN_VALUE : confirmedAt + leaseMillis - CLOCK_MARGIN_MILLIS;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.dragonflymux.core.desired.CustomerSpec;
+import org.dragonflymux.core.membership.MembershipStateMachine;
+import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.core.name.CustomerName;
 import org.dragonflymux.core.name.HostId;
 
@@ -21,6 +23,7 @@
 
     private static final long MAX_TOKEN_WAIT_MILLIS = 600;
     private static final long USAGE_REPORT_INTERVAL_MILLIS = 100;
+    private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final HostId self;
     private final long incarnation;
@@ -33,6 +36,10 @@
     private final Map<LenderPartition, Long> knownSince = new HashMap<>();
 
     private boolean partitionsRead;
+    /** The highest epoch of the store that a partition was claimed in, and since when it has been known to follow another one. */
+    private long storeEpoch = -1;
+
+    private long restoreKnownSince = NEVER;
     /**
      * The partitions taken over from an earlier incarnation of this host, and since when no other host can have lent tokens of
      * them: the start of this incarnation, or the first sight of the earlier claim if another host had the partition before it.
@@ -75,6 +82,7 @@
 
     /** Replaces the partitions that are held by any host. */
     public void replacePartitions(Collection<LenderPartition> held, long now) {
+        noteRestores(held, now);
         Map<Integer, LenderPartition> previous = new HashMap<>(partitions);
         partitions.clear();
         for (LenderPartition partition : held) {
@@ -91,6 +99,23 @@
         updateHeldPartitions(now);
     }
 
+    /**
+     * Notes whether the store came back from a copy. A lender may not know that yet, and its record may be lost: it lends until
+     * its lease would have ended.
+     */
+    private void noteRestores(Collection<LenderPartition> held, long now) {
+        long readIn = held.stream()
+                .mapToLong(partition -> StoreEpoch.of(partition.epoch()))
+                .max()
+                .orElse(-1);
+        boolean holdsEarlierClaims = held.stream()
+                .anyMatch(partition -> StoreEpoch.of(partition.lease()) < StoreEpoch.of(partition.epoch()));
+        if (readIn > storeEpoch) {
+            restoreKnownSince = storeEpoch >= 0 || holdsEarlierClaims ? now : restoreKnownSince;
+            storeEpoch = readIn;
+        }
+    }
+
     private boolean heldByThisIncarnation(LenderPartition partition) {
         return partition.holder().host().equals(self) && partition.holder().incarnation() == incarnation;
     }
@@ -116,7 +141,9 @@
     private void updateHeldPartitions(long now) {
         lender.replacePartitions(
                 partitions.values().stream().filter(this::heldUnderCurrentLease).toList(),
-                partition -> reclaimedSince.getOrDefault(partition, now));
+                partition -> Math.max(
+                        reclaimedSince.getOrDefault(partition, now),
+                        restoreKnownSince + MembershipStateMachine.LEASE_MILLIS));
     }
 
     private boolean heldUnderCurrentLease(LenderPartition partition) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -60,6 +60,12 @@
     private Set<Assignment> inheritedAssignments = Set.of();
     private long leadingSince;
     private long othersRenewUntil;
+    /** All tokens of the present term are above this one. */
+    private long fenceFloor;
+    /** Until when others may hold keys by grants of an earlier epoch of the store. */
+    private long earlierHoldsEndAt;
+
+    private boolean renewsEarlierEpoch;
     private long nextPlanAt;
     private long writeOutstandingUntil = Long.MIN_VALUE;
     private long lastCallNumber;
@@ -99,18 +105,36 @@
     }
 
     /**
-     * Starts granting: this host has become the grantor.
+     * Starts granting: this host has become the grantor of a store that never came back from a copy.
      *
      * @param formerGrantors the earlier grantors that may still renew grants
      * @param termKnownSince since when this host has known the record that names them
      */
     public void startLeading(FormerGrantors formerGrantors, long termKnownSince, long now) {
+        startLeading(formerGrantors, termKnownSince, 0, false, now);
+    }
+
+    /**
+     * Starts granting: this host has become the grantor.
+     *
+     * @param formerGrantors the earlier grantors that may still renew grants
+     * @param termKnownSince since when this host has known the record that names them
+     * @param floor all fencing tokens of the term are above it; by a table with lower ones nothing is granted
+     * @param soleGrantorBefore whether no other host was the grantor before the store came back from a copy, so that the table
+     *     that this host knows names all owners
+     */
+    public void startLeading(
+            FormerGrantors formerGrantors, long termKnownSince, long floor, boolean soleGrantorBefore, long now) {
         if (leading) {
             return;
         }
+        fenceFloor = floor;
         leading = true;
         leadingSince = now;
         othersRenewUntil = termKnownSince + formerGrantors.renewForMillis();
+        earlierHoldsEndAt = soleGrantorBefore
+                ? Long.MIN_VALUE
+                : othersRenewUntil + settings.callTimeoutMillis() + settings.worstCaseHoldMillis();
         inheritedAssignments = new HashSet<>(table.assignments());
         grants.clear();
         moves.clear();
@@ -133,6 +157,10 @@
         if (revision > tableRevision) {
             writeOutstandingUntil = Long.MIN_VALUE;
         }
+        if (leading && isOfEarlierEpoch(table) && !isOfEarlierEpoch(newTable)) {
+            // Moves that the earlier epoch left unfinished are resumed under new tokens.
+            inheritedAssignments = new HashSet<>(newTable.assignments());
+        }
         table = newTable;
         tableRevision = revision;
         moves.keySet().retainAll(newTable.assignments());
@@ -149,6 +177,16 @@
         leaseValid = confirmed;
     }
 
+    /** Records whether this host may still renew what it granted itself in an earlier epoch of the store. */
+    public void renewsEarlierEpoch(boolean renewing) {
+        renewsEarlierEpoch = renewing;
+    }
+
+    /** Returns whether nothing may be granted by a table, as the store came back from a copy since it was written. */
+    private boolean isOfEarlierEpoch(ShardTable any) {
+        return any.lastFence() < fenceFloor;
+    }
+
     /**
      * Returns the effects that are due.
      *
@@ -160,6 +198,11 @@
         if (!leading) {
             return effects;
         }
+        if (isOfEarlierEpoch(table)) {
+            renewEarlierGrants(now, effects);
+            writeTableAnew(now, effects);
+            return effects;
+        }
         for (Assignment assignment : table.assignments()) {
             if (assignment.move().isPresent()) {
                 advanceMove(assignment, now, effects);
@@ -171,6 +214,31 @@
         return effects;
     }
 
+    /** Goes on with the renewals of this host's last term in the earlier epoch, for the time for which any other term waits. */
+    private void renewEarlierGrants(long now, List<GrantEffect> effects) {
+        if (!renewsEarlierEpoch) {
+            return;
+        }
+        boolean valid = leaseValid;
+        leaseValid = false;
+        table.assignments().stream()
+                .filter(assignment -> assignment.move().isEmpty())
+                .forEach(assignment -> renewGrant(assignment, now, effects));
+        leaseValid = valid;
+    }
+
+    /** Writes the table of an earlier epoch under new fencing tokens, once no other target can hold keys of it. */
+    private void writeTableAnew(long now, List<GrantEffect> effects) {
+        if (now < earlierHoldsEndAt || now < writeOutstandingUntil || !leaseValid) {
+            return;
+        }
+        ShardTable next = table.assignments().isEmpty() ? plan(table, now) : table;
+        if (!next.assignments().isEmpty()) {
+            writeOutstandingUntil = now + WRITE_TIMEOUT_MILLIS;
+            effects.add(new GrantEffect.Persist(service, next.renumberedAbove(fenceFloor), tableRevision));
+        }
+    }
+
     private TargetGrants grantsOf(TargetId target) {
         return grants.computeIfAbsent(
                 target,
@@ -366,7 +434,7 @@
         } else if (call.progress.equals(current) && call.progress.get().step() == call.step) {
             moveCallEnded(call, call.progress.get(), result, now);
         }
-        if (leading) {
+        if (leading && !isOfEarlierEpoch(table)) {
             if (current.isPresent() && call.assignment.move().isPresent()) {
                 advanceMove(call.assignment, now, effects);
             }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardTable.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/ShardTable.java
@@ -57,6 +57,23 @@
         return Optional.empty();
     }
 
+    /** Returns the same owners and moves under new fencing tokens, which are above the given one and all of this table. */
+    public ShardTable renumberedAbove(long floor) {
+        long last = Math.max(floor, lastFence);
+        List<Assignment> result = new ArrayList<>();
+        for (Assignment assignment : assignments) {
+            long fence = ++last;
+            Optional<Move> move = Optional.empty();
+            if (assignment.move().isPresent()) {
+                last += Move.FENCES;
+                Move moving = assignment.move().get();
+                move = Optional.of(new Move(moving.to(), moving.incarnation(), last));
+            }
+            result.add(new Assignment(assignment.range(), assignment.owner(), assignment.incarnation(), fence, move));
+        }
+        return new ShardTable(last, result);
+    }
+
     /** Returns the table with the given assignment, which replaces the previous assignments of its keys. */
     public ShardTable with(Assignment change) {
         List<Assignment> result = new ArrayList<>();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -18,6 +18,7 @@
 import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.membership.MembershipEffect;
 import org.dragonflymux.core.membership.MembershipStateMachine;
+import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.quota.LenderElection;
@@ -39,6 +40,11 @@
 
     private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
     private static final long TERM_UPDATE_INTERVAL_MILLIS = 3_000;
+    /**
+     * The number of epochs that the first term of an epoch marks as begun. An epoch without a grantor leaves no mark of its own,
+     * and a write is under way for some seconds only.
+     */
+    private static final long MARKED_EPOCHS = 3;
 
     private final StoreClient store;
     private final MembershipStateMachine membership;
@@ -56,6 +62,7 @@
     private Map<HostId, FleetMember> reportedHosts = Map.of();
     private long nextTermUpdateAt = Long.MIN_VALUE;
     private boolean collectsReports;
+    private long epoch;
 
     /** Receives the state that the control loop reads from the store. */
     public interface Listener {
@@ -114,6 +121,13 @@
     /** Handles a change of the gateway's own records; the map holds all items of the store. */
     public void recordsChanged(Map<String, StoredItem> items) {
         long now = leaseClock.nowMillis();
+        // All items of a copy are of one epoch.
+        epoch = items.values().stream()
+                .findAny()
+                .map(item -> StoreEpoch.of(item.revision()))
+                .orElse(Math.max(epoch, store.epoch()));
+        succession.epochRead(epoch, membership.epochRead(epoch, now));
+        grants.epochRead(epoch, succession.soleGrantorBefore());
         Set<HostId> registered = new HashSet<>();
         Optional<StoredItem> grantor = Optional.empty();
         Optional<StoredItem> lastGrantor = Optional.empty();
@@ -134,6 +148,7 @@
                 FleetRecords.serviceOfTable(item.key()).ifPresent(service -> grants.tableRead(service, item));
             }
         }
+        grants.tablesRead();
         members.retain(items.keySet());
         termRecords.retain(items.keySet());
         lenderPartitionRecords.retain(items.keySet());
@@ -147,7 +162,7 @@
         membership.lastGrantorChanged(lastTerm.map(GrantorTerm::holder), lastTermRevision);
         succession.lastTermChanged(lastTerm, lastTermRevision, holdClock.nowMillis());
         membership.grantorChanged(
-                grantor.flatMap(termRecords::read),
+                grantor.flatMap(termRecords::read).filter(term -> !term.restored()),
                 grantor.map(StoredItem::revision).orElse(0L),
                 now);
         membership.synced(now);
@@ -213,15 +228,24 @@
                                 register.lease())));
             case MembershipEffect.ClaimGrantorRole claim -> {
                 FormerGrantors formerGrantors = succession.formerGrantors(membership.members(), holdClock.nowMillis());
-                byte[] record = FleetRecords.encodeTerm(claim.record(), claim.lease(), formerGrantors);
+                boolean followsRestore = succession.followsRestore();
+                byte[] record =
+                        FleetRecords.encodeTerm(claim.record(), claim.lease(), formerGrantors, epoch, followsRestore);
+                List<StoreClient.Put> puts = new ArrayList<>();
+                puts.add(new StoreClient.Put(FleetRecords.GRANTOR_KEY, record, claim.lease()));
+                puts.add(new StoreClient.Put(FleetRecords.LAST_GRANTOR_KEY, record, 0));
+                if (followsRestore) {
+                    // Writes that were sent in the epochs before are refused from now on.
+                    for (long since = Math.max(1, epoch - MARKED_EPOCHS + 1); since <= epoch; since++) {
+                        puts.add(new StoreClient.Put(FleetRecords.epochKey(since), record, 0));
+                    }
+                }
                 write(
                         List.of(
                                 new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, claim.expectedRevision()),
                                 new StoreClient.ExpectedRevision(
                                         FleetRecords.LAST_GRANTOR_KEY, claim.expectedLastGrantorRevision())),
-                        List.of(
-                                new StoreClient.Put(FleetRecords.GRANTOR_KEY, record, claim.lease()),
-                                new StoreClient.Put(FleetRecords.LAST_GRANTOR_KEY, record, 0)));
+                        puts);
             }
             case MembershipEffect.GrantorRoleChanged changed -> grants.termChanged(changed.term());
         }
@@ -281,7 +305,8 @@
             return;
         }
         nextTermUpdateAt = now + TERM_UPDATE_INTERVAL_MILLIS;
-        byte[] record = FleetRecords.encodeTerm(term.holder(), term.lease(), FormerGrantors.NONE);
+        byte[] record =
+                FleetRecords.encodeTerm(term.holder(), term.lease(), FormerGrantors.NONE, epoch, term.fenceFloor() > 0);
         store.commit(
                 List.of(
                         new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, term.revision()),
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
@@ -13,6 +13,7 @@
 import org.dragonflymux.core.membership.FormerGrantor;
 import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.membership.GrantorTerm;
+import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.InvalidNameException;
@@ -20,6 +21,7 @@
 import org.dragonflymux.core.quota.LenderPartition;
 import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.gateway.SocketAddresses;
+import org.dragonflymux.gateway.store.EpochGuard;
 import org.dragonflymux.gateway.store.StoredItem;
 
 /** The gateway's own records in the store: their keys, and the JSON encoding of hosts and lender partitions. */
@@ -70,6 +72,11 @@
         }
     }
 
+    /** Returns the key that shows that a host has become the grantor in an epoch of the store or a later one. */
+    public static String epochKey(long epoch) {
+        return EpochGuard.EPOCH_PREFIX + epoch;
+    }
+
     public static String lenderPartitionKey(int number) {
         return LENDER_PARTITION_PREFIX + number;
     }
@@ -91,8 +98,19 @@
         return serialize(toJson(holder).put("lease", lease));
     }
 
-    /** Encodes a term of a grantor; its revision is that of the write. */
+    /** Encodes a term of a grantor in epoch 0 of the store; its revision is that of the write. */
     public static byte[] encodeTerm(FleetMember holder, long lease, FormerGrantors formerGrantors) {
+        return encodeTerm(holder, lease, formerGrantors, 0, false);
+    }
+
+    /**
+     * Encodes a term of a grantor; its revision is that of the write.
+     *
+     * @param epoch the epoch of the store in which the term begins
+     * @param followsRestore whether the store came back from a copy before, in this epoch or an earlier one
+     */
+    public static byte[] encodeTerm(
+            FleetMember holder, long lease, FormerGrantors formerGrantors, long epoch, boolean followsRestore) {
         ObjectNode record = toJson(holder).put("lease", lease).put("unnamedMillis", formerGrantors.unnamedMillis());
         ArrayNode named = record.putArray("formerGrantors");
         for (FormerGrantor former : formerGrantors.named()) {
@@ -101,6 +119,9 @@
                     .put("incarnation", former.incarnation())
                     .put("renewsForMillis", former.renewsForMillis());
         }
+        if (epoch > 0) {
+            record.put("epoch", epoch).put("followsRestore", followsRestore);
+        }
         return serialize(record);
     }
 
@@ -121,7 +142,12 @@
             JsonNode node = JSON.readTree(item.value());
             FormerGrantors formerGrantors = formerGrantors(node);
             long lease = node.path("lease").asLong();
-            return member(item.value()).map(holder -> new GrantorTerm(holder, lease, item.revision(), formerGrantors));
+            long epoch = StoreEpoch.of(item.revision());
+            boolean restored = node.path("epoch").asLong() < epoch;
+            long fenceFloor = node.path("followsRestore").asBoolean() ? StoreEpoch.fenceFloor(epoch) : 0;
+            return member(item.value())
+                    .map(holder ->
+                            new GrantorTerm(holder, lease, item.revision(), formerGrantors, fenceFloor, restored));
         } catch (IOException | InvalidNameException unreadable) {
             return Optional.empty();
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -14,6 +15,7 @@
 import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.membership.MembershipStateMachine;
+import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.shard.GrantEffect;
 import org.dragonflymux.core.shard.GrantResult;
@@ -47,8 +49,17 @@
     private final Map<ServiceName, StoredTable> tables = new HashMap<>();
     private Optional<GrantorTerm> term = Optional.empty();
     private long termKnownSince;
+    private boolean soleGrantorBefore;
 
-    private record StoredTable(ShardTable table, long revision) {}
+    private long epoch;
+
+    /**
+     * A table as this host knows it.
+     *
+     * @param revision the revision of the stored table
+     * @param contentEpoch the epoch of the store in which the content was read
+     */
+    private record StoredTable(ShardTable table, long revision, long contentEpoch) {}
 
     /**
      * Creates the loop of a host that is not the grantor.
@@ -99,10 +110,25 @@
             TableCodec.decode(item.value())
                     .ifPresentOrElse(
                             table -> applyTable(service, table, item.revision()),
-                            () -> LOG.warn("event=table_unreadable service={} revision={}", service, item.revision()));
+                            () -> tableUnreadable(service, item.revision()));
+        }
+    }
+
+    private void tableUnreadable(ServiceName service, long revision) {
+        LOG.warn("event=table_unreadable service={} revision={}", service, revision);
+        StoredTable known = tables.get(service);
+        if (known != null && StoreEpoch.of(known.revision()) < epoch) {
+            keepTable(service, known, revision);
         }
     }
 
+    /** Keeps a table of an earlier epoch, which takes the place of the stored one with the next write. */
+    private void keepTable(ServiceName service, StoredTable known, long revision) {
+        tables.put(service, new StoredTable(known.table(), revision, known.contentEpoch()));
+        Optional.ofNullable(grantStateMachines.get(service))
+                .ifPresent(grantStateMachine -> grantStateMachine.tableStored(known.table(), revision));
+    }
+
     private boolean isNewer(ServiceName service, long revision) {
         return !tables.containsKey(service) || revision > tables.get(service).revision();
     }
@@ -111,7 +137,13 @@
         if (!isNewer(service, revision)) {
             return;
         }
-        tables.put(service, new StoredTable(table, revision));
+        StoredTable known = tables.get(service);
+        if (known != null && isRestored(table, revision, known)) {
+            LOG.info("event=table_restored service={} lastFence={} revision={}", service, table.lastFence(), revision);
+            keepTable(service, known, revision);
+            return;
+        }
+        tables.put(service, new StoredTable(table, revision, StoreEpoch.of(revision)));
         GrantStateMachine grantStateMachine = grantStateMachines.get(service);
         if (grantStateMachine != null) {
             grantStateMachine.tableStored(table, revision);
@@ -119,6 +151,27 @@
         tableListener.accept(service, table);
     }
 
+    /**
+     * Returns whether a stored table is of an earlier epoch, and the known one shows the owners better: each change of owners
+     * takes a higher fencing token, and the only grantor of the epoch before knows by which table it acted.
+     */
+    private boolean isRestored(ShardTable stored, long revision, StoredTable known) {
+        long storedEpoch = StoreEpoch.of(revision);
+        return storedEpoch > known.contentEpoch()
+                && stored.lastFence() < StoreEpoch.fenceFloor(storedEpoch)
+                && (soleGrantorBefore || stored.lastFence() <= known.table().lastFence());
+    }
+
+    /**
+     * Records the epoch of the store's content, before the tables in it.
+     *
+     * @param soleGrantor whether this host was the only grantor until the store came back in this epoch
+     */
+    void epochRead(long readEpoch, boolean soleGrantor) {
+        epoch = readEpoch;
+        soleGrantorBefore = soleGrantor;
+    }
+
     /** Records that requests for keys arrived at any host. */
     void recordKeyRequests(Map<ServiceName, int[]> keys) {
         if (term.isEmpty()) {
@@ -133,6 +186,17 @@
         });
     }
 
+    /** Handles the end of a pass over the records: tables that the store had in an earlier epoch only are written anew. */
+    void tablesRead() {
+        for (ServiceName service : Set.copyOf(tables.keySet())) {
+            StoredTable known = tables.get(service);
+            if (StoreEpoch.of(known.revision()) < epoch) {
+                LOG.info("event=table_lost service={}", service);
+                keepTable(service, known, StoreEpoch.startOf(epoch));
+            }
+        }
+    }
+
     /** Handles the begin or the end of a term of this host as the grantor. */
     void termChanged(Optional<GrantorTerm> newTerm) {
         LOG.info(
@@ -156,8 +220,12 @@
     }
 
     private void startLeading(GrantStateMachine grantStateMachine) {
-        term.ifPresent(current ->
-                grantStateMachine.startLeading(current.formerGrantors(), termKnownSince, holdClock.nowMillis()));
+        term.ifPresent(current -> grantStateMachine.startLeading(
+                current.formerGrantors(),
+                termKnownSince,
+                current.fenceFloor(),
+                soleGrantorBefore,
+                holdClock.nowMillis()));
     }
 
     /** Runs the state machines and carries out the effects that are due. */
@@ -167,6 +235,7 @@
 
     private void tick(GrantStateMachine grantStateMachine) {
         boolean termConfirmed = membership.termConfirmed(leaseClock.nowMillis());
+        grantStateMachine.renewsEarlierEpoch(membership.renewsEarlierEpoch(leaseClock.nowMillis()));
         run(grantStateMachine, grantStateMachine.tick(termConfirmed, holdClock.nowMillis()));
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/CountingStoreClient.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/CountingStoreClient.java
@@ -68,6 +68,11 @@
         };
     }
 
+    @Override
+    public long epoch() {
+        return delegate.epoch();
+    }
+
     @Override
     public void range(String prefix, Consumer<Either<StoreError, Range>> result) {
         delegate.range(prefix, counted(READ, result));
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
@@ -149,6 +149,13 @@
                 .channel());
     }
 
+    /** Closes the connection to the source; the next call of {@link #subscribe} opens it again, and it starts with a snapshot. */
+    void reconnect() {
+        if (subscription != null) {
+            subscription.close();
+        }
+    }
+
     /** The connection of a subscriber, on the side that sends updates. */
     private final class Subscriber extends SimpleChannelInboundHandler<ByteBuf> {
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreClient.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreClient.java
@@ -4,7 +4,12 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** A client of the store. Each result is delivered exactly once, on the event loop that made the call. */
+/**
+ * A client of the store. Each result is delivered exactly once, on the event loop that made the call. All revisions and lease
+ * ids are qualified by the epoch of the store, see {@link org.dragonflymux.core.membership.StoreEpoch}. A call that is answered in
+ * another epoch than it was sent in is not acknowledged: its result is {@link StoreError#UNKNOWN}, that of a watch
+ * {@link StoreError#COMPACTED}.
+ */
 public interface StoreClient {
 
     /**
@@ -40,6 +45,11 @@
      */
     record Put(String key, byte[] value, long lease) {}
 
+    /** Returns the highest epoch of the store that an answer has stated, 0 if none has. */
+    default long epoch() {
+        return 0;
+    }
+
     /** Reads all values whose keys start with a prefix. */
     void range(String prefix, Consumer<Either<StoreError, Range>> result);
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.gateway.clock.HoldClock;
 import org.dragonflymux.gateway.clock.LeaseClock;
 
@@ -159,6 +160,10 @@
             return;
         }
         markReachable();
+        if (StoreEpoch.of(result.get().revision()) < epoch()) {
+            scheduleRetry();
+            return;
+        }
         if (result.get().revision() >= revision) {
             replace(result.get().items(), result.get().revision());
             relay.publish(snapshot());
@@ -168,6 +173,12 @@
     }
 
     private void replace(List<StoredItem> all, long newRevision) {
+        if (revision >= 0 && StoreEpoch.of(newRevision) > epoch()) {
+            LOG.warn("event=store_epoch_read epoch={} before={}", StoreEpoch.of(newRevision), epoch());
+            // Targets write their entries again, as after an outage.
+            recoveredAt = clock.nowMillis();
+            listener.storeRecovered(recoveredAt);
+        }
         Set<String> changedKeys = new HashSet<>(items.keySet());
         items.clear();
         all.forEach(item -> items.put(item.key(), item));
@@ -209,6 +220,11 @@
         }
         markReachable();
         StoreClient.Changes changes = result.get();
+        if (StoreEpoch.of(changes.revision()) < epoch()) {
+            // The store came back from a copy since then, as another host has told.
+            scheduleRetry();
+            return;
+        }
         // A watch that ended without changes shows that there were none until its end.
         boolean unchanged = changes.changes().isEmpty();
         completeAt = Math.max(completeAt, unchanged ? Math.min(sentAt + timeoutMillis, clock.nowMillis()) : sentAt);
@@ -258,7 +274,22 @@
         return true;
     }
 
+    /** Returns the epoch of this copy, -1 if there is none yet. */
+    private long epoch() {
+        return StoreEpoch.of(revision);
+    }
+
     private void frameReceived(RelayFrame frame) {
+        long frameEpoch = StoreEpoch.of(frame.changes().revision());
+        if (frameEpoch > 0 && !StoreEpoch.isValid(frameEpoch) || frameEpoch < Math.max(epoch(), store.epoch())) {
+            // The sender doesn't know yet that the store came back from a copy.
+            return;
+        }
+        if (frameEpoch > epoch() && revision >= 0 && !frame.snapshot()) {
+            // The values that the changes build on are missing; a new connection starts with all of them.
+            relay.reconnect();
+            return;
+        }
         if (frame.sinceRecoveryMillis() < NEVER_MILLIS) {
             recoveredAt = Math.max(recoveredAt, clock.nowMillis() - Math.max(0, frame.sinceRecoveryMillis()));
             listener.storeRecovered(recoveredAt);
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -24,6 +24,12 @@
     /** Within which time each key must have an owner once the last fault has ended. */
     private static final long OWNER_WITHIN_MILLIS = 4_000;
 
+    /**
+     * Within which time each key must have an owner once the store is back from a copy: the claim of the first term, 10 s of
+     * renewals that others may still send, the timeout of a call, and the longest hold.
+     */
+    private static final long OWNER_WITHIN_OF_RESTORE_MILLIS = 20_000;
+
     private static final long CALM_FROM_MILLIS = 40_000;
 
     private static final String SEEDS = "org.dragonflymux.gateway.control.simulation.KeyOwnershipUnderFaultsTest#seeds";
@@ -213,6 +219,66 @@
         }
     }
 
+    @Nested
+    class RestoredStore {
+
+        private SimulatedDeployment startedWithCopies(long seed, int hosts) {
+            SimulatedDeployment deployment = new SimulatedDeployment(seed, hosts, TARGETS);
+            deployment.store().startInEpoch(seed % 3);
+            deployment.store().keepHistory();
+            deployment.runUntil(START_MILLIS);
+            return deployment;
+        }
+
+        /** The store came back with an older table, lower fencing tokens and revisions that it gave out again. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void gives_no_key_two_owners(long seed) {
+            SimulatedDeployment deployment = startedWithCopies(seed, HOSTS);
+            deployment.repeat(6_000, 20_000, () -> deployment.restoreStore(6_000, 4_000));
+            deployment.repeat(3_000, 9_000, () -> deployment.replaceTarget(2_500, 1_000));
+
+            assertRulesHold(deployment);
+        }
+
+        /** Each host may see the new epoch at another time, by an old copy, after a restart or in the middle of a move. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void gives_no_key_two_owners_among_all_other_faults(long seed) {
+            SimulatedDeployment deployment = startedWithCopies(seed, 5);
+            deployment.targets().lateGrants(0.05);
+            deployment.store().loseAnswers(0.05);
+            deployment.store().lateWrites(0.1);
+            deployment.repeat(5_000, 25_000, () -> deployment.restoreStore(6_000, 4_000));
+            deployment.repeat(1_500, 6_000, () -> deployment.delayUpdates(6_000, 5_000));
+            deployment.repeat(4_000, 12_000, () -> deployment.discardHistory(1_500));
+            deployment.repeat(3_000, 9_000, () -> deployment.restartTarget(300, 1_500));
+            deployment.repeat(4_000, 12_000, () -> deployment.replaceTarget(2_500, 1_000));
+            deployment.repeat(6_000, 20_000, () -> deployment.cutOffTarget(2_000, 6_000));
+            deployment.repeat(6_000, 20_000, () -> deployment.cutOffTargetFromMostHosts(8_000, 14_000));
+            deployment.repeat(8_000, 20_000, () -> deployment.isolateGrantor(3_000, 15_000));
+            deployment.repeat(8_000, 20_000, () -> deployment.restartGrantor(100, 3_000));
+            deployment.repeat(20_000, 60_000, () -> deployment.restartAllHosts(100, 5_000));
+            deployment.repeat(8_000, 20_000, () -> deployment.freezeGrantor(500, 14_000));
+            deployment.repeat(2_000, 6_000, () -> deployment.stepTimeOfDay(2_000));
+
+            assertRulesHold(deployment);
+        }
+
+        /** A table that the store has lost stayed unwritten, or its outdated owners stayed without grants. */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void gives_all_keys_an_owner_again(long seed) {
+            SimulatedDeployment deployment = startedWithCopies(seed, HOSTS);
+            deployment.repeat(6_000, 20_000, () -> deployment.restoreStore(6_000, 4_000));
+            deployment.repeat(4_000, 9_000, () -> deployment.restartGrantor(100, 3_000));
+
+            deployment.runUntil(CALM_FROM_MILLIS);
+            deployment.runUntilCalm(OWNER_WITHIN_OF_RESTORE_MILLIS);
+            assertThat(deployment.checker().violations()).isEmpty();
+        }
+    }
+
     @Nested
     class OwnersAfterFaults {
 
