--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -37,6 +38,8 @@
     private static final int MAX_LATE_WRITE_MILLIS = 6_000;
     private static final long SNAPSHOT_MILLIS = 10;
     private static final long HISTORY_MILLIS = 10_000;
+    /** Within which time a target writes its entry again after the store came back from a copy. */
+    private static final int MAX_REWRITE_MILLIS = 1_500;
 
     private final VirtualTime time;
     private final SplittableRandom random;
@@ -44,6 +47,9 @@
     private final Map<String, Long> leaseOfKey = new HashMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private final Map<TargetId, TargetEntry> targets = new HashMap<>();
+    /** The entries that the targets want in the store. They write them again after it came back from a copy. */
+    private final Map<TargetId, TargetEntry> currentTargets = new HashMap<>();
+
     private final Set<String> unanswered = new HashSet<>();
     private long revision = 100;
     private double lostAnswerShare;
@@ -148,7 +154,15 @@
             }
             leases.put(id, kept);
         });
-        revision = StoreEpoch.numberOf(copy.revision()) + targets.size();
+        revision = StoreEpoch.numberOf(copy.revision());
+        targets.clear();
+        copy.targets().forEach(entry -> targets.put(entry.id(), entry));
+        Set<TargetId> written = new HashSet<>(targets.keySet());
+        written.addAll(currentTargets.keySet());
+        // A set's order would differ between runs of one seed.
+        written.stream()
+                .sorted(Comparator.comparing(TargetId::value))
+                .forEach(id -> time.after(random.nextInt(MAX_REWRITE_MILLIS), () -> writeTarget(id)));
         history.clear();
         keepSnapshot();
     }
@@ -175,13 +189,25 @@
     }
 
     void registerTarget(TargetEntry entry) {
-        revision++;
-        targets.put(entry.id(), entry);
+        currentTargets.put(entry.id(), entry);
+        writeTarget(entry.id());
     }
 
     void removeTarget(TargetId id) {
+        currentTargets.remove(id);
+        writeTarget(id);
+    }
+
+    private void writeTarget(TargetId id) {
+        if (down) {
+            return;
+        }
         revision++;
-        targets.remove(id);
+        if (currentTargets.containsKey(id)) {
+            targets.put(id, currentTargets.get(id));
+        } else {
+            targets.remove(id);
+        }
     }
 
     /** Returns the present revision, qualified by the epoch. */
