Epochs of the store count from the first answer that states them

Cause: a host noticed a restore with its copy of the store only. Its lease had often ended by then, so that the grantor couldn't prove that it was the only one, and the wait for others began late.

Change: the epoch that any answer states counts, and the wait for the grantors of the earlier epoch begins with it.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
@@ -21,6 +21,9 @@
     private boolean beginsEpoch = true;
 
     private long epoch = -1;
+    /** Since when this host has known the present epoch, which is no earlier than the return of the store. */
+    private long epochKnownSince;
+
     /** Whether this host has seen the store come back from a copy. */
     private boolean restoreSeen;
     /**
@@ -46,19 +49,20 @@
     }
 
     /**
-     * Records the epoch of the store's content.
+     * Records the epoch of the store, as soon as any answer or record shows it.
      *
      * @param soleGrantor whether the lease of this host's term was still known to be valid in the epoch before, so that no other
      *     host was the grantor up to the end of that one
      */
-    public void epochRead(long readEpoch, boolean soleGrantor) {
-        if (readEpoch > epoch) {
+    public void epochSeen(long seenEpoch, boolean soleGrantor, long now) {
+        if (seenEpoch > epoch) {
             restoreSeen = epoch >= 0;
-            formerBeforeRestore = restoreSeen && soleGrantor && readEpoch == epoch + 1
+            formerBeforeRestore = restoreSeen && soleGrantor && seenEpoch == epoch + 1
                     ? lastTerm.map(GrantorTerm::formerGrantors)
                     : Optional.empty();
             formerBeforeRestoreKnownSince = knownSince;
-            epoch = readEpoch;
+            epoch = seenEpoch;
+            epochKnownSince = now;
         }
     }
 
@@ -89,6 +93,10 @@
         if (lastTermRevision == 0 && !restoreSeen) {
             return FormerGrantors.NONE;
         }
+        if (beginsEpoch) {
+            // The grantors of the earlier epoch had no lease confirmed since the store came back.
+            return FormerGrantors.unnamed(renewalGraceMillis).remainingAfter(now - epochKnownSince);
+        }
         // An unreadable record may hide any grantor.
         return lastTerm.map(last -> formerGrantors(last, now).without(former -> hasEnded(former, members)))
                 .orElse(FormerGrantors.unnamed(renewalGraceMillis));
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -89,13 +89,13 @@
     }
 
     /**
-     * Records the epoch of the store's content, before the records themselves.
+     * Records the epoch of the store, as soon as any answer or record shows it.
      *
      * @return whether it is a new one, and the lease of this host's term was known to be valid until now
      */
-    public boolean epochRead(long readEpoch, long now) {
-        boolean rises = readEpoch > epoch && epoch >= 0;
-        epoch = Math.max(epoch, readEpoch);
+    public boolean epochSeen(long seenEpoch, long now) {
+        boolean rises = seenEpoch > epoch && epoch >= 0;
+        epoch = Math.max(epoch, seenEpoch);
         return rises && termConfirmed(now);
     }
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorAfterRestoreTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorAfterRestoreTest.java
@@ -37,13 +37,13 @@
         private final GrantorSuccession succession = GrantorSuccession.of(self, GRACE_MILLIS);
 
         private void epochOne(FleetMember holder, FormerGrantors former) {
-            succession.epochRead(1, false);
+            succession.epochSeen(1, false, now);
             succession.lastTermChanged(Optional.of(term(holder, REVISION, former, false)), REVISION, now);
         }
 
         private void restored(long epoch, boolean soleGrantor) {
             long revision = StoreEpoch.qualify(epoch, 40);
-            succession.epochRead(epoch, soleGrantor);
+            succession.epochSeen(epoch, soleGrantor, now);
             succession.lastTermChanged(Optional.of(term(other, revision, FormerGrantors.NONE, true)), revision, now);
         }
 
@@ -61,13 +61,25 @@
         @Test
         void waits_for_any_host_if_the_copy_has_no_term() {
             epochOne(other, FormerGrantors.NONE);
-            succession.epochRead(2, false);
+            succession.epochSeen(2, false, now);
             succession.lastTermChanged(Optional.empty(), 0, now);
 
             assertThat(succession.formerGrantors(Map.of(), now)).isEqualTo(FormerGrantors.unnamed(GRACE_MILLIS));
             assertThat(succession.followsRestore()).isTrue();
         }
 
+        /** Guards against a wait that is longer than needed: a host claims the role some time after it saw the restore. */
+        @Test
+        void waits_from_the_time_at_which_it_saw_the_restore() {
+            epochOne(other, FormerGrantors.NONE);
+            succession.epochSeen(2, false, now);
+            now += 3_000;
+            restored(2, false);
+
+            assertThat(succession.formerGrantors(Map.of(), now))
+                    .isEqualTo(FormerGrantors.unnamed(GRACE_MILLIS - 3_000));
+        }
+
         @Test
         void waits_for_the_former_grantors_only_that_the_sole_grantor_of_the_epoch_before_waited_for() {
             FormerGrantors former = new FormerGrantors(List.of(new FormerGrantor(other.host(), 5, 9_000)), 0);
@@ -92,7 +104,7 @@
         /** Guards against other numbers in a deployment whose store was never restored, whatever epoch it starts in. */
         @Test
         void follows_no_restore_in_the_first_epoch_that_is_seen() {
-            succession.epochRead(5, false);
+            succession.epochSeen(5, false, now);
             succession.lastTermChanged(Optional.empty(), 0, now);
 
             assertThat(succession.formerGrantors(Map.of(), now)).isEqualTo(FormerGrantors.NONE);
@@ -102,7 +114,7 @@
         @Test
         void follows_a_restore_in_all_later_terms_and_epochs() {
             long floor = StoreEpoch.fenceFloor(2);
-            succession.epochRead(2, false);
+            succession.epochSeen(2, false, now);
             succession.lastTermChanged(
                     Optional.of(new GrantorTerm(other, LEASE, RESTORED_REVISION, FormerGrantors.NONE, floor, false)),
                     RESTORED_REVISION,
@@ -119,7 +131,7 @@
 
         @BeforeEach
         void leadInEpochOne() {
-            machine.epochRead(1, now);
+            machine.epochSeen(1, now);
             machine.leaseObtained(LEASE, now);
             machine.memberRegistered(self);
             machine.synced(now);
@@ -130,21 +142,21 @@
 
         @Test
         void was_the_sole_grantor_while_its_lease_was_valid() {
-            assertThat(machine.epochRead(2, now + MembershipStateMachine.LEASE_MILLIS - 1))
+            assertThat(machine.epochSeen(2, now + MembershipStateMachine.LEASE_MILLIS - 1))
                     .isTrue();
         }
 
         /** Guards against a proof by a lease that had ended: another host may have been the grantor before the restore. */
         @Test
         void may_have_been_succeeded_once_its_lease_had_ended() {
-            assertThat(machine.epochRead(2, now + MembershipStateMachine.LEASE_MILLIS))
+            assertThat(machine.epochSeen(2, now + MembershipStateMachine.LEASE_MILLIS))
                     .isFalse();
         }
 
         /** Guards against seconds without owners: the grantor stopped renewing as soon as it saw the copy. */
         @Test
         void renews_until_its_time_is_over_or_another_term_begins() {
-            machine.epochRead(2, now);
+            machine.epochSeen(2, now);
             machine.grantorChanged(Optional.empty(), RESTORED_REVISION, now);
             machine.tick(now);
             assertThat(machine.activeTerm()).isPresent();
@@ -158,7 +170,7 @@
         /** Guards against moves by a term that the store has lost. */
         @Test
         void does_not_confirm_its_term_by_a_lease_of_the_new_epoch() {
-            machine.epochRead(2, now);
+            machine.epochSeen(2, now);
             machine.grantorChanged(Optional.empty(), RESTORED_REVISION, now);
             machine.leaseEnded();
             machine.leaseObtained(StoreEpoch.qualify(2, 7), now);
@@ -170,7 +182,7 @@
 
         @Test
         void renews_what_it_granted_before_in_its_next_term_for_the_rest_of_that_time() {
-            machine.epochRead(2, now);
+            machine.epochSeen(2, now);
             long revision = StoreEpoch.qualify(2, 41);
             machine.grantorChanged(Optional.of(term(self, revision, FormerGrantors.NONE, false)), revision, now);
             machine.tick(now);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -63,6 +63,7 @@
     private long nextTermUpdateAt = Long.MIN_VALUE;
     private boolean collectsReports;
     private long epoch;
+    private boolean synced;
 
     /** Receives the state that the control loop reads from the store. */
     public interface Listener {
@@ -126,7 +127,7 @@
                 .findAny()
                 .map(item -> StoreEpoch.of(item.revision()))
                 .orElse(Math.max(epoch, store.epoch()));
-        succession.epochRead(epoch, membership.epochRead(epoch, now));
+        epochSeen(epoch, now);
         grants.epochRead(epoch, succession.soleGrantorBefore());
         Set<HostId> registered = new HashSet<>();
         Optional<StoredItem> grantor = Optional.empty();
@@ -166,6 +167,7 @@
                 grantor.map(StoredItem::revision).orElse(0L),
                 now);
         membership.synced(now);
+        synced = true;
         lenderElection.replacePartitions(lenderPartitions);
         if (!membership.members().equals(reportedHosts)) {
             reportedHosts = Map.copyOf(membership.members());
@@ -174,6 +176,10 @@
         listener.lenderPartitionsChanged(lenderPartitions);
     }
 
+    private void epochSeen(long seenEpoch, long now) {
+        succession.epochSeen(seenEpoch, membership.epochSeen(seenEpoch, now), holdClock.nowMillis());
+    }
+
     /** Records that requests for keys arrived at any host. */
     public void recordKeyRequests(Map<ServiceName, int[]> keys) {
         grants.recordKeyRequests(keys);
@@ -192,6 +198,10 @@
     /** Runs the state machines and carries out the effects that are due. */
     public void tick() {
         long now = leaseClock.nowMillis();
+        if (synced) {
+            // An answer to a lease call may show a new epoch before the copy of the store does.
+            epochSeen(store.epoch(), now);
+        }
         membership.roleChanged(collectsReports || holdsLenderPartition());
         for (MembershipEffect effect : membership.tick(now)) {
             run(effect, now);
