The first claim of a new epoch is left to the grantor of the earlier one

Cause: another host often claimed the role first after a restore, and keys waited 10 s for all earlier holds, though their grantor could have gone on with them at once.

Change: other hosts wait 3 s before the first claim of an epoch. Their wait for earlier grantors begins when they see the epoch, so that it isn't longer.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -34,6 +34,11 @@
     private static final int MAX_RETRY_DOUBLINGS = 2;
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
     private static final long CLAIM_STAGGER_MILLIS = 150;
+    /**
+     * For how long other hosts leave the first claim of a new epoch to the grantor of the earlier one, which may go on by its own
+     * table. Their own wait for its renewals is longer, and doesn't begin with the claim.
+     */
+    private static final long FIRST_CLAIM_DELAY_MILLIS = 3_000;
 
     private final FleetMember self;
     private final long renewalGraceMillis;
@@ -63,6 +68,9 @@
     private long earlierEpochConfirmedAt = Long.MIN_VALUE / 2;
 
     private long epoch = -1;
+    /** When this host first saw the present epoch, if it has seen an earlier one. */
+    private long restoreSeenAt = Long.MIN_VALUE / 2;
+
     private Optional<GrantorTerm> activeTerm = Optional.empty();
     private boolean stopping;
 
@@ -95,6 +103,9 @@
      */
     public boolean epochSeen(long seenEpoch, long now) {
         boolean rises = seenEpoch > epoch && epoch >= 0;
+        if (rises) {
+            restoreSeenAt = now;
+        }
         epoch = Math.max(epoch, seenEpoch);
         return rises && termConfirmed(now);
     }
@@ -323,7 +334,8 @@
             boolean heldByEarlierIncarnation = holder.host().equals(self.host()) && !holder.sameIncarnation(self);
             return heldByEarlierIncarnation || hasEnded(holder);
         }
-        if (grantorAbsentSince == Long.MAX_VALUE) {
+        boolean leavesClaimToEarlierGrantor = activeTerm.isEmpty() && now - restoreSeenAt < FIRST_CLAIM_DELAY_MILLIS;
+        if (grantorAbsentSince == Long.MAX_VALUE || leavesClaimToEarlierGrantor) {
             return false;
         }
         return now >= grantorAbsentSince + rank() * CLAIM_STAGGER_MILLIS;
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorAfterRestoreTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorAfterRestoreTest.java
@@ -180,6 +180,33 @@
             assertThat(machine.termConfirmed(now)).isFalse();
         }
 
+        private boolean claimsWithin(MembershipStateMachine claimant, long millis) {
+            boolean claimed = false;
+            for (long end = now + millis; now < end; now += 50) {
+                claimed |= claimant.tick(now).stream().anyMatch(MembershipEffect.ClaimGrantorRole.class::isInstance);
+            }
+            return claimed;
+        }
+
+        /** Guards against keys that wait for all earlier holds, though their grantor could go on with them at once. */
+        @Test
+        void of_the_earlier_grantor_comes_before_the_claims_of_others() {
+            MembershipStateMachine follower = MembershipStateMachine.of(other, GRACE_MILLIS);
+            follower.epochSeen(1, now);
+            follower.leaseObtained(LEASE, now);
+            follower.memberRegistered(other);
+            follower.synced(now);
+            follower.epochSeen(2, now);
+            follower.grantorChanged(Optional.empty(), RESTORED_REVISION, now);
+            machine.epochSeen(2, now);
+            machine.grantorChanged(Optional.empty(), RESTORED_REVISION, now);
+
+            long seenAt = now;
+            assertThat(claimsWithin(machine, 1_000)).isTrue();
+            assertThat(claimsWithin(follower, seenAt + 2_900 - now)).isFalse();
+            assertThat(claimsWithin(follower, 2_000)).isTrue();
+        }
+
         @Test
         void renews_what_it_granted_before_in_its_next_term_for_the_rest_of_that_time() {
             machine.epochSeen(2, now);
