--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.dragonflymux.core.desired.CustomerSpec;
 import org.dragonflymux.core.membership.MembershipStateMachine;
 import org.dragonflymux.core.membership.StoreEpoch;
@@ -40,6 +41,11 @@
     private long storeEpoch = -1;
 
     private long restoreKnownSince = NEVER;
+    /** The partitions whose only lender this host was until the store came back, as its lease was still certain to be valid. */
+    private final Set<Integer> heldThroughRestore = new HashSet<>();
+
+    private KnownLease presentLease = new KnownLease(0, NEVER);
+    private KnownLease previousLease = presentLease;
     /**
      * The partitions taken over from an earlier incarnation of this host, and since when no other host can have lent tokens of
      * them: the start of this incarnation, or the first sight of the earlier claim if another host had the partition before it.
@@ -58,6 +64,9 @@
     private long nextUsageReportAt = Long.MIN_VALUE;
     private List<RateMessage> outbox = new ArrayList<>();
 
+    /** A lease of this host, and until when it was certain to be valid. */
+    private record KnownLease(long lease, long until) {}
+
     private DistributedRateLimiter(HostId self, long incarnation, long startedAt) {
         this.self = self;
         this.incarnation = incarnation;
@@ -111,11 +120,24 @@
         boolean holdsEarlierClaims = held.stream()
                 .anyMatch(partition -> StoreEpoch.of(partition.lease()) < StoreEpoch.of(partition.epoch()));
         if (readIn > storeEpoch) {
+            heldThroughRestore.clear();
+            if (storeEpoch >= 0 && readIn == storeEpoch + 1) {
+                partitions.values().stream()
+                        .filter(partition -> heldUnderKnownLease(partition, now))
+                        .map(LenderPartition::number)
+                        .forEach(heldThroughRestore::add);
+            }
             restoreKnownSince = storeEpoch >= 0 || holdsEarlierClaims ? now : restoreKnownSince;
             storeEpoch = readIn;
         }
     }
 
+    private boolean heldUnderKnownLease(LenderPartition partition, long now) {
+        return heldByThisIncarnation(partition)
+                && Stream.of(presentLease, previousLease)
+                        .anyMatch(known -> known.lease() == partition.lease() && now < known.until());
+    }
+
     private boolean heldByThisIncarnation(LenderPartition partition) {
         return partition.holder().host().equals(self) && partition.holder().incarnation() == incarnation;
     }
@@ -132,6 +154,10 @@
     /** Records this host's lease and the time until which it is certain to be valid. */
     public void updateLease(long currentLease, long until, long now) {
         lender.updateLeaseEnd(until);
+        if (currentLease != 0) {
+            previousLease = currentLease == presentLease.lease() ? previousLease : presentLease;
+            presentLease = new KnownLease(currentLease, until);
+        }
         if (currentLease != lease) {
             lease = currentLease;
             updateHeldPartitions(now);
@@ -141,9 +167,14 @@
     private void updateHeldPartitions(long now) {
         lender.replacePartitions(
                 partitions.values().stream().filter(this::heldUnderCurrentLease).toList(),
-                partition -> Math.max(
-                        reclaimedSince.getOrDefault(partition, now),
-                        restoreKnownSince + MembershipStateMachine.LEASE_MILLIS));
+                partition -> Math.max(reclaimedSince.getOrDefault(partition, now), lendsNobodyElseSince(partition)));
+    }
+
+    /** Returns since when no lender of an earlier epoch of the store has lent the tokens of a partition. */
+    private long lendsNobodyElseSince(LenderPartition partition) {
+        return heldThroughRestore.contains(partition.number())
+                ? restoreKnownSince
+                : restoreKnownSince + MembershipStateMachine.LEASE_MILLIS;
     }
 
     private boolean heldUnderCurrentLease(LenderPartition partition) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LendingAfterRestoreTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LendingAfterRestoreTest.java
@@ -57,6 +57,32 @@
         assertWaitsForLeases();
     }
 
+    private void lendInEpochOne(long leaseUntil) {
+        long lease = StoreEpoch.qualify(1, 7);
+        lender.updateLease(lease, leaseUntil, now);
+        lender.replacePartitions(List.of(partition("a", lease, StoreEpoch.qualify(1, 50))), now);
+    }
+
+    /** Guards against a wait for others that is not needed, in which customers are refused after each restore. */
+    @Test
+    void a_lender_whose_lease_was_valid_until_the_restore_waits_for_its_own_tokens_only() {
+        lendInEpochOne(now + 1);
+        claimInEpochTwo();
+        now += TokenAccount.TOKEN_LIFETIME_MILLIS;
+        assertThat(lends()).isFalse();
+        now += 200;
+
+        assertThat(lends()).isTrue();
+    }
+
+    @Test
+    void a_lender_whose_lease_may_have_ended_before_the_restore_waits_for_the_leases_of_others() {
+        lendInEpochOne(now);
+        claimInEpochTwo();
+
+        assertWaitsForLeases();
+    }
+
     @Test
     void a_host_that_starts_after_the_restore_knows_it_by_the_claims_in_the_copy() {
         lender.replacePartitions(List.of(partition("b", StoreEpoch.qualify(1, 3), StoreEpoch.qualify(2, 50))), now);
