--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -141,9 +141,8 @@
         boolean ofEarlierEpoch =
                 ownTerm.filter(held -> StoreEpoch.of(held.revision()) < epoch).isPresent();
         if (ofEarlierEpoch && term.isEmpty()) {
-            // The store has lost the term. It still renews until its time is over or another term begins, since the
-            // first term
-            // of the new epoch waits for that.
+            // The store has lost the term. It still renews until its time is over or another term begins. The first
+            // term of the new epoch waits for that.
             return;
         }
         if (!own.equals(ownTerm)) {
