Keys of a target whose address another process answers at move at once

Cause: after a change of the grantor, the keys of targets that were lost just before wait until the renewals and holds of the earlier grantor can't be in force any more, 13.6 s.

The process that had the address has ended then, with all its grants, so the move of its keys goes on at once. This holds only if the call went to the latest incarnation that is known. Calls of a move go to the last known address of a target whose entry was removed; those to such a target are repeated each second. A refused connection proves nothing, since links may refuse as well.

Ruled out: a shorter time for renewals without the store, which keeps keys served while the store is away.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -109,6 +109,11 @@
         return Optional.ofNullable(targets.get(id));
     }
 
+    /** Returns the latest entry of a target, also if it was removed a while ago. */
+    public Optional<TargetEntry> lastEntry(TargetId id) {
+        return Optional.ofNullable(knownState(id)).map(TargetState::entry);
+    }
+
     /** Returns the target whose name has the given hash. */
     public Optional<TargetState> withNameHash(int hash) {
         return Optional.ofNullable(byHash.get(hash));
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantResult.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantResult.java
@@ -15,6 +15,12 @@
     /** The target refused the call because it has seen a higher fencing token. */
     record Fenced() implements GrantResult {}
 
+    /**
+     * Another process answers at the target's address. The target's process has ended, since it would hold the address
+     * otherwise, and so have its grants.
+     */
+    record TargetEnded() implements GrantResult {}
+
     /** The call never reached the target. */
     record NotSent() implements GrantResult {}
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -431,6 +431,8 @@
         }
         if (call.step != Step.RELEASE) {
             grantsOf(call.target).callEnded(result, call.sentAt, now);
+        } else if (result instanceof GrantResult.TargetEnded) {
+            grantsOf(call.target).processEnded(call.sentAt, now);
         }
         Optional<MoveProgress> current = Optional.ofNullable(moves.get(call.assignment));
         if (call.progress.isEmpty()) {
@@ -455,6 +457,8 @@
             case FENCE_OWNER -> {
                 if (result instanceof GrantResult.Done) {
                     progress.ownerFenced(grantsOf(call.target).heldUntil());
+                } else if (ownerEnded(call, progress, result)) {
+                    progress.advanceTo(Step.GRANT);
                 } else {
                     progress.expiresNotBefore(grantsOf(call.target).heldUntil());
                     progress.advanceTo(Step.AWAIT_EXPIRY);
@@ -464,15 +468,19 @@
             case RELEASE -> {
                 if (result instanceof GrantResult.Done done) {
                     progress.released(done.handover());
+                } else if (ownerEnded(call, progress, result)) {
+                    progress.advanceTo(Step.GRANT);
                 } else {
-                    progress.retryAt(now + RETRY_DELAY_MILLIS);
+                    boolean registered = directory.target(call.target).isPresent();
+                    progress.retryAt(now + (registered ? RETRY_DELAY_MILLIS : OWNER_RETRY_DELAY_MILLIS));
                 }
             }
             case GRANT -> {
                 if (result instanceof GrantResult.Done) {
                     progress.advanceTo(Step.DONE);
                 } else if (grantsOf(call.target).unresponsiveMillis(now) > UNRESPONSIVE_AFTER_MILLIS
-                        || result instanceof GrantResult.Fenced) {
+                        || result instanceof GrantResult.Fenced
+                        || result instanceof GrantResult.TargetEnded) {
                     // The new owner may hold the keys, so it counts as the owner; they can move on from there.
                     progress.advanceTo(Step.DONE);
                 } else {
@@ -483,6 +491,18 @@
         }
     }
 
+    /**
+     * Returns whether the process that owned the keys of a move has ended. The call must have gone to the latest incarnation
+     * that is known, since a later one may hold the keys at another address.
+     */
+    private boolean ownerEnded(Call call, MoveProgress progress, GrantResult result) {
+        return result instanceof GrantResult.TargetEnded
+                && directory
+                        .lastEntry(call.target)
+                        .filter(entry -> entry.incarnation() == progress.ownerIncarnation())
+                        .isPresent();
+    }
+
     private void updateTable(long now, List<GrantEffect> effects) {
         if (now < writeOutstandingUntil || !leaseValid) {
             return;
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
@@ -196,6 +196,63 @@
         }
     }
 
+    /** The process of an owner has ended and another one has its address, while an earlier grantor may still renew. */
+    @Nested
+    class EndedOwner {
+
+        private GrantEffect.Grant fencing;
+
+        @BeforeEach
+        void lose() {
+            machine.tableStored(table(ownedBy("a", 5)), 1);
+            machine.startLeading(ANY_HOST_RENEWS, now, now);
+            awaitCallsOfPredecessor();
+            directory.replace(List.of(entry("b", 1, false)), now);
+            now += 250;
+            GrantEffect.Persist persist =
+                    of(GrantEffect.Persist.class, runFor(500)).getFirst();
+            machine.tableStored(persist.table(), 2);
+            fencing = of(GrantEffect.Grant.class, runFor(100)).stream()
+                    .filter(grant -> grant.target().equals(TargetId.of("a")))
+                    .reduce((first, second) -> second)
+                    .orElseThrow();
+        }
+
+        private boolean granted(List<GrantEffect> effects) {
+            return of(GrantEffect.Grant.class, effects).stream()
+                    .anyMatch(grant -> grant.target().equals(TargetId.of("b")));
+        }
+
+        /** Guards against keys without an owner for the time of renewals that no process can take. */
+        @Test
+        void its_keys_move_at_once() {
+            List<GrantEffect> after = machine.callEnded(fencing.call(), new GrantResult.TargetEnded(), now);
+            after.addAll(runFor(200));
+
+            assertThat(granted(after)).isTrue();
+        }
+
+        /** Guards against a second owner: a call that merely fails proves nothing. */
+        @Test
+        void its_keys_stay_while_it_only_fails_to_answer() {
+            List<GrantEffect> after = machine.callEnded(fencing.call(), new GrantResult.NotSent(), now);
+            after.addAll(runFor(1_000));
+
+            assertThat(granted(after)).isFalse();
+        }
+
+        /** Guards against a second owner: a later incarnation of the owner may hold the keys at another address. */
+        @Test
+        void its_keys_stay_if_it_has_started_again() {
+            directory.replace(List.of(entry("a", 2, false), entry("b", 1, false)), now);
+
+            List<GrantEffect> after = machine.callEnded(fencing.call(), new GrantResult.TargetEnded(), now);
+            after.addAll(runFor(1_000));
+
+            assertThat(granted(after)).isFalse();
+        }
+    }
+
     @Nested
     class UnreachableOwner {
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -250,27 +250,26 @@
     private void run(GrantStateMachine grantStateMachine, List<GrantEffect> effects) {
         logPlacement(grantStateMachine);
         for (GrantEffect effect : effects) {
+            // A target whose entry was removed may still hold keys, and its last address tells whether it has ended.
             switch (effect) {
                 case GrantEffect.Persist persist -> persist(grantStateMachine, persist);
                 case GrantEffect.Grant grant ->
                     directory
-                            .target(grant.target())
+                            .lastEntry(grant.target())
                             .ifPresentOrElse(
-                                    target -> grantClient.grant(
-                                            target.entry(), grant, settings.callTimeoutMillis(), result -> {
-                                                logUnlessDone(grant, result);
-                                                callEnded(grantStateMachine, grant.call(), result);
-                                            }),
+                                    target -> grantClient.grant(target, grant, settings.callTimeoutMillis(), result -> {
+                                        logUnlessDone(grant, result);
+                                        callEnded(grantStateMachine, grant.call(), result);
+                                    }),
                                     () -> callEnded(grantStateMachine, grant.call(), new GrantResult.NotSent()));
                 case GrantEffect.Release release ->
                     directory
-                            .target(release.target())
+                            .lastEntry(release.target())
                             .ifPresentOrElse(
-                                    target -> grantClient.release(
-                                            target.entry(), release, RELEASE_TIMEOUT_MILLIS, result -> {
-                                                LOG.info("event=keys_released release={} result={}", release, result);
-                                                callEnded(grantStateMachine, release.call(), result);
-                                            }),
+                                    target -> grantClient.release(target, release, RELEASE_TIMEOUT_MILLIS, result -> {
+                                        LOG.info("event=keys_released release={} result={}", release, result);
+                                        callEnded(grantStateMachine, release.call(), result);
+                                    }),
                                     () -> callEnded(grantStateMachine, release.call(), new GrantResult.NotSent()));
             }
         }
