--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -113,6 +113,30 @@
         }
     }
 
+    @Nested
+    class ReusedAddresses {
+
+        /**
+         * Another process answers at the address of a lost owner, which proves that its grants have ended. The owner may be back at
+         * another address, where a grantor without the store can't renew them.
+         */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void prove_the_end_of_one_incarnation_only(long seed) {
+            SimulatedDeployment deployment = started(seed);
+            deployment.targets().lateGrants(0.1);
+            deployment.store().loseAnswers(0.1);
+            deployment.repeat(1_500, 5_000, () -> deployment.loseTarget(1_000, 1_400));
+            deployment.repeat(2_500, 7_000, () -> deployment.loseTarget(2_000, 6_000));
+            deployment.repeat(4_000, 9_000, () -> deployment.restartTarget(300, 1_500));
+            deployment.repeat(5_000, 12_000, () -> deployment.restartGrantor(100, 3_000));
+            deployment.repeat(8_000, 20_000, () -> deployment.isolateGrantor(3_000, 15_000));
+            deployment.repeat(6_000, 20_000, () -> deployment.cutOffTarget(2_000, 6_000));
+
+            assertRulesHold(deployment);
+        }
+    }
+
     @Nested
     class GrantorsInARow {
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedDeployment.java
@@ -10,6 +10,9 @@
 /** Hosts and targets of one service with shard keys, its traffic, and faults that are drawn from a seed. */
 final class SimulatedDeployment {
 
+    /** After this time without a heartbeat, the entry of a target is removed from the store. */
+    private static final int ENTRY_LAPSE_MILLIS = 2_600;
+
     private static final ServiceName SERVICE = ServiceName.of("orders");
     private static final GrantSettings SETTINGS = GrantSettings.forMaxHold(10_000);
     private static final long TRAFFIC_INTERVAL_MILLIS = 100;
@@ -179,6 +182,23 @@
         lastStartAt = Math.max(lastStartAt, time.now() + drainMillis + downMillis);
     }
 
+    /** Ends a random target; its entry lapses and another process gets its address. It starts again at another address. */
+    void loseTarget(int reuseMillis, int downMillis) {
+        SimulatedTarget target = targets.all().get(random.nextInt(targets.all().size()));
+        target.crash();
+        time.after(ENTRY_LAPSE_MILLIS, () -> {
+            if (!target.up()) {
+                store.removeTarget(target.id());
+            }
+        });
+        time.after(reuseMillis, () -> targets.reuseAddress(target));
+        startLater(downMillis, () -> {
+            if (!target.up()) {
+                targets.start(target);
+            }
+        });
+    }
+
     /**
      * Ends all faults, waits until the last process is back and the last late call was carried out, and then for a time in
      * which each key must have got an owner.
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
@@ -156,13 +156,13 @@
 
             @Override
             public void grant(TargetEntry to, GrantEffect.Grant grant, long timeout, Consumer<GrantResult> result) {
-                targets.grant(name, to.id(), grant, timeout, establishedWith, delivered(result));
+                targets.grant(name, to, grant, timeout, establishedWith, delivered(result));
             }
 
             @Override
             public void release(
                     TargetEntry to, GrantEffect.Release release, long timeout, Consumer<GrantResult> result) {
-                targets.release(name, to.id(), release, timeout, delivered(result));
+                targets.release(name, to, release, timeout, delivered(result));
             }
 
             private Consumer<GrantResult> delivered(Consumer<GrantResult> result) {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.gateway.control.simulation;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.shard.GrantEffect;
@@ -30,12 +32,19 @@
     private final OwnershipChecker checker;
     private final Set<TargetId> cutOff = new HashSet<>();
     private final Set<Path> cutPaths = new HashSet<>();
+    /** The latest incarnation of a target whose address another process has. */
+    private final Map<TargetId, Long> reusedAddresses = new HashMap<>();
+
     private double lateShare;
     private long lastLateGrantAt;
 
     /** The way of calls from a host to a target. */
     private record Path(String host, TargetId target) {}
 
+    private boolean addressReused(TargetEntry entry) {
+        return entry.incarnation() <= reusedAddresses.getOrDefault(entry.id(), Long.MIN_VALUE);
+    }
+
     SimulatedTargets(int count, ServiceName service, VirtualTime time, SimulatedStore store, SplittableRandom random) {
         this.time = time;
         this.store = store;
@@ -89,6 +98,13 @@
         }
     }
 
+    /** Gives the address of a target that has ended to another process; if the target starts again, it has another one. */
+    void reuseAddress(SimulatedTarget target) {
+        if (!target.up()) {
+            reusedAddresses.put(target.id(), target.incarnation());
+        }
+    }
+
     /** Sets the share of grants that are carried out late and not answered. */
     void lateGrants(double share) {
         lateShare = share;
@@ -114,13 +130,14 @@
      */
     void grant(
             String sender,
-            TargetId id,
+            TargetEntry to,
             GrantEffect.Grant grant,
             long timeoutMillis,
             Map<TargetId, Long> establishedWith,
             Consumer<GrantResult> result) {
+        TargetId id = to.id();
         LongFunction<GrantResult> action = arrivedAt -> take(sender, target(id), grant, arrivedAt);
-        arrive(new Path(sender, id), timeoutMillis, result, target -> {
+        arrive(sender, to, timeoutMillis, result, target -> {
             if (grant.connection() == GrantEffect.Connection.ESTABLISHED
                     && !Objects.equals(establishedWith.get(id), target.incarnation())) {
                 answer(new GrantResult.NotSent(), 0, result);
@@ -157,22 +174,37 @@
     }
 
     void release(
-            String sender, TargetId id, GrantEffect.Release release, long timeoutMillis, Consumer<GrantResult> result) {
-        arrive(new Path(sender, id), timeoutMillis, result, target -> {
+            String sender,
+            TargetEntry to,
+            GrantEffect.Release release,
+            long timeoutMillis,
+            Consumer<GrantResult> result) {
+        arrive(sender, to, timeoutMillis, result, target -> {
             int workMillis = random.nextInt(MAX_WORK_MILLIS);
             long endsAt = target.release(release.range(), release.fence(), time.now(), workMillis);
-            GrantResult outcome = new GrantResult.Done(Optional.of("handover-" + id + "-" + release.fence()));
+            GrantResult outcome = new GrantResult.Done(Optional.of("handover-" + to.id() + "-" + release.fence()));
             checker.called(sender, "release", target, release.range(), release.fence(), outcome);
             answer(outcome, endsAt - time.now(), result);
         });
     }
 
-    /** Delivers a call to the incarnation that runs when it arrives; with none, the connection is refused. */
-    private void arrive(Path path, long timeoutMillis, Consumer<GrantResult> result, Consumer<SimulatedTarget> action) {
+    /**
+     * Delivers a call to the incarnation that runs when it arrives, or to the process that has the address in its place; with none,
+     * the connection is refused.
+     */
+    private void arrive(
+            String sender,
+            TargetEntry to,
+            long timeoutMillis,
+            Consumer<GrantResult> result,
+            Consumer<SimulatedTarget> action) {
+        Path path = new Path(sender, to.id());
         time.after(ONE_WAY_MILLIS + random.nextInt(3), () -> {
             SimulatedTarget target = target(path.target());
             if (cutOff.contains(path.target()) || cutPaths.contains(path)) {
                 time.after(timeoutMillis, () -> result.accept(new GrantResult.Unknown()));
+            } else if (addressReused(to)) {
+                answer(new GrantResult.TargetEnded(), 0, result);
             } else if (target.up()) {
                 action.accept(target);
             } else {
