An urgent request is not refused because of less urgent ones that wait at other hosts

Cause: reports had waiting requests by service only, so the expected wait of an urgent request counted the background work that waits at other hosts. While background work of two hosts waits for a full target of 10 slots, another host refuses an urgent request.

Change: PeerReport.waitingByClass says how many of the waiting requests have a priority class other than the most urgent, at most 8 classes. Aggregates carry it. The expected wait counts requests that are at least as urgent; for the owner of a shard key, what other hosts have waiting for it is bounded by what they have waiting of at least that urgency for the service. On the wire, a class is an entry among the totals by service, so the format stays version 3: its decoder rejects further bytes and other versions, and hosts of the earlier release keep reading the totals and the shard keys. The order at one host is unchanged.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/FleetView.java
@@ -7,7 +7,6 @@
 import org.dragonflymux.core.balance.TargetDirectory;
 import org.dragonflymux.core.balance.TargetState;
 import org.dragonflymux.core.name.HostId;
-import org.dragonflymux.core.name.ServiceName;
 
 /** The latest reports of the other hosts. */
 final class FleetView {
@@ -43,11 +42,11 @@
         return all.size();
     }
 
-    /** Returns how many requests wait for a service at other hosts. */
-    int waitingAtPeers(ServiceName service) {
+    /** Returns how many requests of a priority class and of more urgent classes wait for their service at other hosts. */
+    int waitingAtPeers(WaitingClass limit) {
         int total = 0;
         for (PeerState peer : peers.values()) {
-            total += peer.silent ? 0 : peer.report.waiting().getOrDefault(service, 0);
+            total += peer.silent ? 0 : peer.report.waitingUpTo(limit);
         }
         return total;
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -286,6 +286,7 @@
                 Map.of(),
                 uses,
                 waiting.countByService(),
+                waiting.countByClass(),
                 keys);
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/PeerReport.java
@@ -14,7 +14,8 @@
  * @param sequence the number of the report within the incarnation
  * @param included for an aggregate sent back to a group, the included reports: host and sequence number
  * @param targets requests at targets and completions since the last report
- * @param waiting number of waiting requests by service
+ * @param waiting number of waiting requests by service, of all priority classes
+ * @param waitingByClass how many of them belong to each class except class 0; the others count as class 0
  * @param keys shard keys requested since the last report by service
  */
 public record PeerReport(
@@ -24,11 +25,37 @@
         Map<HostId, Long> included,
         List<TargetUse> targets,
         Map<ServiceName, Integer> waiting,
+        Map<WaitingClass, Integer> waitingByClass,
         Map<ServiceName, int[]> keys) {
 
+    /** Creates a report whose waiting requests all count as class 0, like those of hosts that report no classes. */
+    public PeerReport(
+            HostId from,
+            long incarnation,
+            long sequence,
+            Map<HostId, Long> included,
+            List<TargetUse> targets,
+            Map<ServiceName, Integer> waiting,
+            Map<ServiceName, int[]> keys) {
+        this(from, incarnation, sequence, included, targets, waiting, Map.of(), keys);
+    }
+
+    /** Returns how many requests of a class and of more urgent classes wait for the service of the class. */
+    int waitingUpTo(WaitingClass limit) {
+        int total = waiting.getOrDefault(limit.service(), 0);
+        if (waitingByClass.isEmpty()) {
+            return total;
+        }
+        int lessUrgent = 0;
+        for (int each = limit.priorityClass() + 1; each < WaitingClass.COUNT; each++) {
+            lessUrgent += waitingByClass.getOrDefault(new WaitingClass(limit.service(), each), 0);
+        }
+        return Math.max(0, total - lessUrgent);
+    }
+
     /** Returns a copy without the requested shard keys. */
     PeerReport withoutKeys() {
-        return new PeerReport(from, incarnation, sequence, included, targets, waiting, Map.of());
+        return new PeerReport(from, incarnation, sequence, included, targets, waiting, waitingByClass, Map.of());
     }
 
     /**
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/ReportAggregator.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/ReportAggregator.java
@@ -157,6 +157,10 @@
                 .toList();
         Map<ServiceName, Integer> waiting = new HashMap<>(report.waiting());
         own.waiting().forEach((service, count) -> waiting.computeIfPresent(service, (_, total) -> total - count));
+        Map<WaitingClass, Integer> waitingByClass = new HashMap<>(report.waitingByClass());
+        own.waitingByClass()
+                .forEach((each, count) ->
+                        waitingByClass.computeIfPresent(each, (_, total) -> Math.max(0, total - count)));
         return new PeerReport(
                 report.from(),
                 report.incarnation(),
@@ -164,6 +168,7 @@
                 report.included(),
                 uses,
                 waiting,
+                waitingByClass,
                 report.keys());
     }
 
@@ -247,16 +252,22 @@
 
         private final Map<Integer, PeerReport.TargetUse> uses = new HashMap<>();
         private final Map<ServiceName, Integer> waiting = new HashMap<>();
+        private final Map<WaitingClass, Integer> waitingByClass = new HashMap<>();
 
         void add(PeerReport report) {
             report.targets().forEach(use -> uses.merge(use.target(), use, PeerReport.TargetUse::plus));
-            report.waiting().forEach((service, count) -> waiting.merge(service, count, Integer::sum));
+            addWaiting(report);
         }
 
         void addCurrentUse(PeerReport report) {
             report.targets()
                     .forEach(use -> uses.merge(use.target(), use.withoutCompletions(), PeerReport.TargetUse::plus));
+            addWaiting(report);
+        }
+
+        private void addWaiting(PeerReport report) {
             report.waiting().forEach((service, count) -> waiting.merge(service, count, Integer::sum));
+            report.waitingByClass().forEach((each, count) -> waitingByClass.merge(each, count, Integer::sum));
         }
 
         void addCompletions(Map<Integer, PeerReport.TargetUse> completions) {
@@ -271,6 +282,7 @@
                     Map.copyOf(included),
                     busiestTargets(),
                     Map.copyOf(waiting),
+                    Map.copyOf(waitingByClass),
                     Map.copyOf(keys));
         }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/WaitingRequests.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/WaitingRequests.java
@@ -71,6 +71,24 @@
         return result;
     }
 
+    /** Returns how many requests wait for each service, by priority class. Class 0, the most urgent, is left out. */
+    Map<WaitingClass, Integer> countByClass() {
+        Map<WaitingClass, Integer> result = new HashMap<>();
+        for (List<Exchange> list : waiting.values()) {
+            for (Exchange exchange : list) {
+                WaitingClass itsClass = classOf(exchange);
+                if (itsClass.priorityClass() > 0) {
+                    result.merge(itsClass, 1, Integer::sum);
+                }
+            }
+        }
+        return result;
+    }
+
+    private static WaitingClass classOf(Exchange exchange) {
+        return WaitingClass.of(exchange.service.name(), exchange.priority);
+    }
+
     /** Returns how many requests wait for each target that owns their keys. */
     Map<TargetId, Integer> countByOwner() {
         Map<TargetId, Integer> result = new HashMap<>();
@@ -84,7 +102,10 @@
         return result;
     }
 
-    /** Returns the expected time until a target starts to work on a request, in milliseconds. */
+    /**
+     * Returns the expected time until a target starts to work on a request, in milliseconds. Of the waiting requests, only
+     * those that are at least as urgent count, here and at other hosts.
+     */
     double expectedWaitMillis(Exchange exchange, long now) {
         ServiceName service = exchange.service.name();
         if (exchange.service.sharded()) {
@@ -103,7 +124,7 @@
                 freeSlots += target.entry().slots() - target.totalInFlight();
             }
         }
-        double ahead = requestsAhead(exchange).count() + fleet.waitingAtPeers(service) + 1 - freeSlots;
+        double ahead = requestsAhead(exchange).count() + fleet.waitingAtPeers(classOf(exchange)) + 1 - freeSlots;
         return ahead <= 0 ? 0 : completionsPerMilli == 0 ? Double.MAX_VALUE : ahead / completionsPerMilli;
     }
 
@@ -115,8 +136,10 @@
                                 assignment.owner().equals(target.entry().id()))
                         .isPresent())
                 .count();
+        // What waits for one target is reported without classes, so what waits for its service bounds it.
+        int aheadAtPeers = Math.min(target.waitingAtPeers(), fleet.waitingAtPeers(classOf(exchange)));
         double requestsBeyondSlots = ahead
-                + target.waitingAtPeers()
+                + aheadAtPeers
                 + target.totalInFlight()
                 + 1
                 - target.entry().slots();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/peer/ReportCodec.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.gateway.PeerReport;
+import org.dragonflymux.core.gateway.WaitingClass;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.shard.KeyRange;
@@ -17,12 +20,27 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
-/** Encodes and decodes reports between hosts. */
+/**
+ * Encodes and decodes reports between hosts.
+ *
+ * <p>The waiting requests of a priority class are an entry among those of the services, with a name made of the class and the
+ * service, such as {@code 2..orders}. Earlier releases, which reject further bytes and other format versions, read it as a
+ * service that they have no requests for, and their aggregates pass it on.
+ */
 final class ReportCodec {
 
     private static final Logger LOG = LogManager.getLogger(ReportCodec.class);
     private static final int FORMAT_VERSION = 3;
     private static final int MAX_ENTRIES = 4_096;
+    /** Bounds the classes in a report to 4.2 kB with the longest names. Requests of classes left out count as class 0. */
+    private static final int MAX_CLASSES = 60;
+
+    private static final String CLASS_SEPARATOR = "..";
+    private static final Pattern CLASS_ENTRY =
+            Pattern.compile("([1-" + (WaitingClass.COUNT - 1) + "])\\.\\.([a-z0-9].*)");
+    /** Maximum length of a service's name, in characters. */
+    private static final int MAX_NAME_LENGTH = 63;
+
     /** Limit on each count, so that the sum over all hosts stays in range. */
     private static final int MAX_COUNT = 1 << 20;
 
@@ -49,11 +67,7 @@
                 packer.packInt(use.slowdownPercent());
                 packer.packInt(use.slowdownAgeMillis());
             }
-            packer.packMapHeader(report.waiting().size());
-            for (Map.Entry<ServiceName, Integer> count : report.waiting().entrySet()) {
-                packer.packString(count.getKey().value());
-                packer.packInt(count.getValue());
-            }
+            packWaiting(packer, report);
             packer.packMapHeader(report.keys().size());
             for (Map.Entry<ServiceName, int[]> keys : report.keys().entrySet()) {
                 packer.packString(keys.getKey().value());
@@ -68,6 +82,29 @@
         }
     }
 
+    private static void packWaiting(MessageBufferPacker packer, PeerReport report) throws IOException {
+        List<Map.Entry<WaitingClass, Integer>> classes = report.waitingByClass().entrySet().stream()
+                .filter(entry -> entryName(entry.getKey()).length() <= MAX_NAME_LENGTH)
+                .sorted(Map.Entry.<WaitingClass, Integer>comparingByValue()
+                        .reversed()
+                        .thenComparing(entry -> entryName(entry.getKey())))
+                .limit(MAX_CLASSES)
+                .toList();
+        packer.packMapHeader(report.waiting().size() + classes.size());
+        for (Map.Entry<ServiceName, Integer> count : report.waiting().entrySet()) {
+            packer.packString(count.getKey().value());
+            packer.packInt(count.getValue());
+        }
+        for (Map.Entry<WaitingClass, Integer> count : classes) {
+            packer.packString(entryName(count.getKey()));
+            packer.packInt(count.getValue());
+        }
+    }
+
+    private static String entryName(WaitingClass waitingClass) {
+        return waitingClass.priorityClass() + CLASS_SEPARATOR + waitingClass.service();
+    }
+
     static Optional<PeerReport> decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             if (unpacker.unpackInt() != FORMAT_VERSION) {
@@ -104,8 +141,17 @@
                     unpacker.unpackInt()));
         }
         Map<ServiceName, Integer> waiting = new HashMap<>();
+        Map<WaitingClass, Integer> waitingByClass = new HashMap<>();
         for (int i = checkSize(unpacker.unpackMapHeader()); i > 0; i--) {
-            waiting.put(ServiceName.of(unpacker.unpackString()), unpackNumber(unpacker, MAX_COUNT));
+            ServiceName name = ServiceName.of(unpacker.unpackString());
+            int count = unpackNumber(unpacker, MAX_COUNT);
+            Matcher classEntry = CLASS_ENTRY.matcher(name.value());
+            if (classEntry.matches()) {
+                ServiceName service = ServiceName.of(classEntry.group(2));
+                waitingByClass.put(new WaitingClass(service, Integer.parseInt(classEntry.group(1))), count);
+            } else {
+                waiting.put(name, count);
+            }
         }
         Map<ServiceName, int[]> keys = new HashMap<>();
         for (int i = checkSize(unpacker.unpackMapHeader()); i > 0; i--) {
@@ -116,7 +162,7 @@
             }
             keys.put(service, list);
         }
-        return new PeerReport(from, incarnation, sequence, included, targets, waiting, keys);
+        return new PeerReport(from, incarnation, sequence, included, targets, waiting, waitingByClass, keys);
     }
 
     private static int unpackNumber(MessageUnpacker unpacker, int max) throws IOException {
