Keep a hot key at one of equally fast targets

Cause: the planned capacity includes the recent slowdown, and a key that is too hot for its owner causes that slowdown. An idle target of the same speed looked 1.25 times as fast; the key moved there, slowed it down and moved on. Moments in which all slots are busy also made targets look slow in turn, so that other ranges moved for the balance. Change: faster targets for a hot key are found by the nominal capacity, which leaves slowdowns out. A recent slowdown counts for plans only above 1.6; the average one counts as before. Slowdowns below that show in about 3 s instead of 1 s. PlacementModel has a slowdown by load.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -15,6 +15,12 @@
     /** A slowdown of about a second shows in this average; plans by the slower one alone took several seconds to react. */
     private static final double RECENT_SLOWDOWN_SMOOTHING = 0.15;
 
+    /**
+     * Below this the recent slowdown doesn't count for plans. Moments in which all slots are busy slow a target down as well; keys
+     * moved back and forth because of them.
+     */
+    private static final double MIN_RECENT_SLOWDOWN = 1.6;
+
     private static final double FAILURE_SMOOTHING = 0.2;
     private static final long SLOWDOWN_VALID_MILLIS = 400;
     private static final double SLOWDOWN_DURATION_MILLIS = 150;
@@ -308,13 +314,18 @@
         return baseServiceMillis < 0 ? defaultMillis : baseServiceMillis * averageSlowdown;
     }
 
+    /** Returns the long-term service time without any slowdown, or the default if there are no measurements. */
+    public double nominalServiceMillis(double defaultMillis) {
+        return baseServiceMillis < 0 ? defaultMillis : baseServiceMillis;
+    }
+
     /**
      * Returns the long-term service time by which keys are placed, or the default if there are no measurements. The larger of
      * the average and the recent slowdown counts, so that keys leave a slow target soon and return to it late.
      */
     public double plannedServiceMillis(double defaultMillis) {
-        double base = baseServiceMillis < 0 ? defaultMillis : baseServiceMillis;
-        return base * Math.max(averageSlowdown, recentSlowdown);
+        double recent = recentSlowdown > MIN_RECENT_SLOWDOWN ? recentSlowdown : 1;
+        return nominalServiceMillis(defaultMillis) * Math.max(averageSlowdown, recent);
     }
 
     public boolean hasMeasurements() {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Balancing.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Balancing.java
@@ -150,10 +150,16 @@
                         state.certainLoad(owner, key) > state.targets.get(owner).capacityPerSecond());
     }
 
+    /**
+     * Returns a target that is faster by its nominal capacity. The slowdown of the current owner doesn't count, since the hot
+     * key causes it: an idle target of the same speed would look faster and slow down as soon as it has the key.
+     */
     private Optional<PlanTarget> fasterTarget(PlanTarget current) {
         return state.targets.values().stream()
                 .filter(PlanTarget::usable)
-                .filter(target -> target.capacityPerSecond() >= current.capacityPerSecond() * FASTER_TARGET_RATIO)
+                .filter(target ->
+                        target.nominalCapacityPerSecond() >= current.nominalCapacityPerSecond() * FASTER_TARGET_RATIO)
+                .filter(target -> target.capacityPerSecond() > current.capacityPerSecond())
                 .filter(target -> state.utilization(target.id()) < state.fillLevel())
                 .max(Comparator.comparingDouble(PlanTarget::capacityPerSecond)
                         .thenComparing(target -> -state.utilization(target.id()))
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -564,7 +564,8 @@
             result.add(new PlanTarget(
                     target.entry().id(),
                     target.entry().incarnation(),
-                    capacityPerSecond(target, mean, now),
+                    capacityPerSecond(target, target.plannedServiceMillis(mean), mean, now),
+                    capacityPerSecond(target, target.nominalServiceMillis(mean), mean, now),
                     directory.acceptsNewWork(target) && !unresponsive));
         }
         return result;
@@ -579,9 +580,8 @@
         return targetGrants.unresponsiveMillis(now) > UNRESPONSIVE_AFTER_MILLIS;
     }
 
-    private double capacityPerSecond(TargetState target, double mean, long now) {
-        double millis =
-                Math.clamp(target.plannedServiceMillis(mean), mean * MIN_LATENCY_RATIO, mean * MAX_LATENCY_RATIO);
+    private double capacityPerSecond(TargetState target, double serviceMillis, double mean, long now) {
+        double millis = Math.clamp(serviceMillis, mean * MIN_LATENCY_RATIO, mean * MAX_LATENCY_RATIO);
         double requestsPerSecond = target.entry().slots() * MILLIS_PER_SECOND / millis;
         return target.cold(now)
                 ? Math.min(requestsPerSecond, spec.coldPerSecond() * COLD_CAPACITY_SHARE)
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/balance/PlannedServiceTimeTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/balance/PlannedServiceTimeTest.java
@@ -52,4 +52,23 @@
 
         assertThat(target.plannedServiceMillis(DEFAULT_MILLIS)).isGreaterThan(1.5 * DEFAULT_MILLIS);
     }
+
+    /** Moments in which all slots were busy made targets look slow in turn, and keys moved back and forth between them. */
+    @Test
+    void short_slowdowns_by_the_own_load_change_it_little() {
+        for (int i = 0; i < 50; i++) {
+            report(100, 5);
+            report(200, 1);
+        }
+        report(200, 2);
+
+        assertThat(target.plannedServiceMillis(DEFAULT_MILLIS)).isLessThan(1.3 * DEFAULT_MILLIS);
+    }
+
+    @Test
+    void the_nominal_service_time_leaves_the_slowdown_out() {
+        report(200, 20);
+
+        assertThat(target.nominalServiceMillis(DEFAULT_MILLIS)).isEqualTo(DEFAULT_MILLIS);
+    }
 }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementModel.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementModel.java
@@ -11,6 +11,10 @@
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
+import org.dragonflymux.core.balance.TargetEntry;
+import org.dragonflymux.core.balance.TargetState;
+import org.dragonflymux.core.name.FailureDomain;
+import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.shard.ShardPlanner.PlannedMove;
 
@@ -28,6 +32,10 @@
 
     private static final double MILLIS_PER_SECOND = 1000;
     private static final double COLD_CAPACITY_SHARE = 0.6;
+    /** Targets report their slowdown by this interval. */
+    private static final long SLOWDOWN_REPORT_MILLIS = 100;
+    /** Above this share of busy slots a target slows down, up to its greatest slowdown with all of them busy. */
+    private static final double BUSY_SHARE_WITHOUT_SLOWDOWN = 0.75;
 
     private final Service service;
     private final RandomGenerator random;
@@ -40,6 +48,10 @@
     private final Map<Assignment, List<Request>> held = new HashMap<>();
     private final List<Request> unreported = new ArrayList<>();
     private final TargetId[] previousOwners = new TargetId[KeyRange.ALL.size()];
+    private final int[] movesOfKeys = new int[KeyRange.ALL.size()];
+    private final TargetState[] measured;
+    private long nextSlowdownReportAt;
+    private double maxSlowdown = 1;
     private ShardTable table;
     private double now;
     private long nextPlanAt;
@@ -87,9 +99,22 @@
         this.usable = new boolean[service.targets()];
         Arrays.fill(usable, true);
         this.cold = new boolean[service.targets()];
+        this.measured = IntStream.range(0, service.targets())
+                .mapToObj(i -> TargetState.of(
+                        new TargetEntry(
+                                id(i),
+                                ServiceName.of("orders"),
+                                "127.0.0.1:1",
+                                FailureDomain.of("a"),
+                                service.slots(),
+                                false,
+                                0,
+                                1),
+                        0))
+                .toArray(TargetState[]::new);
         // The first table is made before any speed was measured.
         this.table = ShardPlanner.initial(IntStream.range(0, service.targets())
-                .mapToObj(i -> new PlanTarget(id(i), 1, service.capacityPerSecond(), true))
+                .mapToObj(i -> PlanTarget.withoutSlowdown(id(i), 1, service.capacityPerSecond(), true))
                 .toList());
     }
 
@@ -105,6 +130,17 @@
         return Integer.parseInt(id.value().substring(1));
     }
 
+    /** Lets the service times of targets with nearly all slots busy grow, up to the given factor. */
+    PlacementModel withSlowdownByLoad(double factor) {
+        maxSlowdown = factor;
+        return this;
+    }
+
+    /** Returns how often a key was moved since the start. */
+    int movesOf(int key) {
+        return movesOfKeys[key];
+    }
+
     /** Stops placing keys for a target, which still serves those that it has. */
     void leave(int target) {
         usable[target] = false;
@@ -148,12 +184,31 @@
 
     /** Returns the capacity that the grantor plans with, which leaves a part of a cold target's rate unused. */
     private double plannedCapacity(int target) {
+        return nominalCapacity(target) / measured[target].plannedServiceMillis(1);
+    }
+
+    private double nominalCapacity(int target) {
         return service.capacityPerSecond() * speed(target) * (cold[target] ? COLD_CAPACITY_SHARE : 1);
     }
 
+    private double slowdown(int target, double at) {
+        double busy = (double) Arrays.stream(slotFreeAt[target])
+                        .filter(freeAt -> freeAt > at)
+                        .count()
+                / service.slots();
+        double excess = Math.max(0, busy - BUSY_SHARE_WITHOUT_SLOWDOWN) / (1 - BUSY_SHARE_WITHOUT_SLOWDOWN);
+        return 1 + (maxSlowdown - 1) * excess;
+    }
+
+    private void reportSlowdowns(long at) {
+        for (int target = 0; target < measured.length; target++) {
+            measured[target].slowdownReported((int) Math.round(100 * slowdown(target, at)), at);
+        }
+    }
+
     private List<PlanTarget> planTargets() {
         return IntStream.range(0, speeds.length)
-                .mapToObj(i -> new PlanTarget(id(i), 1, plannedCapacity(i), usable[i]))
+                .mapToObj(i -> new PlanTarget(id(i), 1, plannedCapacity(i), nominalCapacity(i), usable[i]))
                 .toList();
     }
 
@@ -196,6 +251,10 @@
         double mean = MILLIS_PER_SECOND / service.requestsPerSecond();
         while (now < start + millis) {
             double next = now - Math.log(1 - random.nextDouble()) * mean;
+            while (nextSlowdownReportAt <= Math.min(next, nextPlanAt) && maxSlowdown > 1) {
+                reportSlowdowns(nextSlowdownReportAt);
+                nextSlowdownReportAt += SLOWDOWN_REPORT_MILLIS;
+            }
             while (nextPlanAt <= next) {
                 endMoves(nextPlanAt, count);
                 plan(nextPlanAt, count, start);
@@ -252,11 +311,11 @@
                 .min(Comparator.comparingDouble(i -> slots[i]))
                 .orElseThrow();
         double begin = Math.max(at, slots[first]);
-        double work = service.workMillis() / speeds[target];
+        double work = service.workMillis() / speeds[target] * slowdown(target, begin);
         if (begin + work - request.arrivedAt() > service.objectiveMillis()) {
             count.refused++;
         } else {
-            slots[first] = begin + service.workMillis() / speed(target);
+            slots[first] = begin + service.workMillis() / speed(target) * slowdown(target, begin);
         }
     }
 
@@ -296,6 +355,7 @@
             for (int key = planned.range().first(); key <= planned.range().last(); key++) {
                 count.returnedKeys += planned.to().equals(previousOwners[key]) ? 1 : 0;
                 previousOwners[key] = owner.owner();
+                movesOfKeys[key]++;
             }
         }
         table = ShardPlanner.mergeAdjacentRanges(table, targets.size());
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementUnderLoadTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementUnderLoadTest.java
@@ -43,6 +43,8 @@
     private static final int MAX_ASSIGNMENTS_PER_TARGET = 3;
 
     private static final int HOT_KEY = 20_300;
+    /** One or two ranges a second, as longer windows show smaller differences. */
+    private static final int MAX_STEADY_MOVES = 25;
 
     private static double[] evenLoad() {
         double[] weights = new double[KeyRange.ALL.size()];
@@ -86,6 +88,12 @@
             bound = PlacementModel.of(service, speeds);
         }
 
+        Trial withSlowdownByLoad(double factor) {
+            planned.withSlowdownByLoad(factor);
+            bound.withSlowdownByLoad(factor);
+            return this;
+        }
+
         Trial warmUp() {
             planned.run(evenLoad(), WARM_UP_MILLIS);
             bound.run(evenLoad(), WARM_UP_MILLIS);
@@ -176,6 +184,34 @@
         }
     }
 
+    /** Targets whose requests take longer when nearly all of their slots are busy. */
+    @Nested
+    class SlowdownByLoad {
+
+        private static final double SHARE = 0.16;
+        private static final double RUN_MILLIS = 30_000;
+
+        static Stream<Arguments> slowdowns() {
+            return SERVICES.stream()
+                    .flatMap(service -> Stream.of(1.4, 1.6, 2.0).map(slowdown -> Arguments.of(service, slowdown)));
+        }
+
+        /** A key slowed its owner down, moved to an idle target that looked faster for that reason, and moved on from there. */
+        @ParameterizedTest
+        @MethodSource("slowdowns")
+        void a_hot_key_stays_at_one_of_equally_fast_targets(Service service, double slowdown) {
+            Trial trial = new Trial(service, 1).withSlowdownByLoad(slowdown).warmUp();
+            int before = trial.planned.movesOf(HOT_KEY);
+
+            trial.run(hotLoad(SHARE, 1), WARM_UP_MILLIS);
+            Comparison steady = trial.run(hotLoad(SHARE, 1), RUN_MILLIS - WARM_UP_MILLIS);
+
+            assertThat(trial.planned.movesOf(HOT_KEY) - before).isLessThanOrEqualTo(2);
+            assertThat(steady.planned().moves()).isLessThan(MAX_STEADY_MOVES);
+            assertThat(steady.excess()).isLessThan(CLOSE);
+        }
+    }
+
     @Nested
     class ColdStart {
 
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/ShardPlannerTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/ShardPlannerTest.java
@@ -18,7 +18,7 @@
     private static final double CAPACITY_PER_SECOND = 30;
 
     private static PlanTarget target(String id, boolean usable) {
-        return new PlanTarget(TargetId.of(id), 1, CAPACITY_PER_SECOND, usable);
+        return PlanTarget.withoutSlowdown(TargetId.of(id), 1, CAPACITY_PER_SECOND, usable);
     }
 
     private static List<PlanTarget> targets(int count) {
@@ -39,8 +39,9 @@
 
     @Test
     void initial_table_assigns_each_key_once_in_proportion_to_capacity() {
-        ShardTable table = ShardPlanner.initial(
-                List.of(new PlanTarget(TargetId.of("a"), 1, 10, true), new PlanTarget(TargetId.of("b"), 1, 30, true)));
+        ShardTable table = ShardPlanner.initial(List.of(
+                PlanTarget.withoutSlowdown(TargetId.of("a"), 1, 10, true),
+                PlanTarget.withoutSlowdown(TargetId.of("b"), 1, 30, true)));
 
         assertThat(table.assignments()).hasSize(2);
         assertThat(table.assignmentOf(0).orElseThrow().range().size()).isEqualTo(16_384);
@@ -60,7 +61,8 @@
     @Nested
     class RestartedOwner {
 
-        private final PlanTarget restarted = new PlanTarget(TargetId.of("t0"), 2, CAPACITY_PER_SECOND, true);
+        private final PlanTarget restarted =
+                PlanTarget.withoutSlowdown(TargetId.of("t0"), 2, CAPACITY_PER_SECOND, true);
 
         /** The keys of a target without others beside it had no owner after its restart, until another one registered. */
         @Test
@@ -111,8 +113,8 @@
         @Test
         void a_newer_incarnation_of_the_owner_counts_as_a_lost_owner() {
             ShardTable table = ShardPlanner.initial(targets(2));
-            List<PlanTarget> restarted =
-                    List.of(new PlanTarget(TargetId.of("t0"), 2, CAPACITY_PER_SECOND, true), target("t1", true));
+            List<PlanTarget> restarted = List.of(
+                    PlanTarget.withoutSlowdown(TargetId.of("t0"), 2, CAPACITY_PER_SECOND, true), target("t1", true));
 
             assertThat(ShardPlanner.plan(table, restarted, noLoad())).isNotEmpty();
         }
@@ -171,8 +173,8 @@
         @Test
         void a_fast_target_gets_more_than_its_proportional_load_while_there_is_spare_capacity() {
             List<PlanTarget> mixed = List.of(
-                    new PlanTarget(TargetId.of("slow"), 1, 60, true),
-                    new PlanTarget(TargetId.of("fast"), 1, 240, true));
+                    PlanTarget.withoutSlowdown(TargetId.of("slow"), 1, 60, true),
+                    PlanTarget.withoutSlowdown(TargetId.of("fast"), 1, 240, true));
             ShardTable table = ShardPlanner.initial(mixed);
             KeyLoad even = KeyLoad.empty();
             IntStream.range(0, 210).forEach(i -> even.recordRequest(i * 312, 0));
@@ -277,7 +279,8 @@
 
         private List<PlanTarget> unevenTargets() {
             return IntStream.range(0, TARGETS)
-                    .mapToObj(i -> new PlanTarget(TargetId.of("t" + i), 1, 45 * speeds[i % speeds.length], true))
+                    .mapToObj(i ->
+                            PlanTarget.withoutSlowdown(TargetId.of("t" + i), 1, 45 * speeds[i % speeds.length], true))
                     .toList();
         }
 
