Stop moves by chance at a high mean utilization

Cause: above a utilization of 0.9 one standard deviation sufficed as evidence. At a mean of 0.8 and more, chance alone makes some targets look overloaded all the time. Nothing bounded the splits, and a single request in the window of 0.4 s made a small range too busy to be consolidated. Change: above a mean of 0.7 overloaded targets need full evidence, too. At three assignments per target ranges are split for the balance only by targets that are overloaded while the mean is below 0.7. The limit of quiet ranges is raised by one request in each window, and neighbours take them up to the mean utilization also above 1. Not covered: a hot range at a mean above 0.7 with three assignments per target is not split for the balance until ranges have been merged.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Balancing.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Balancing.java
@@ -193,13 +193,12 @@
     /**
      * Returns by how much the estimated utilizations of the most and the least utilized target may differ by chance, since the
      * load is a sample. The range of n normal samples is nearly twice the root of 2 ln n deviations of one of them. An overloaded
-     * target refuses requests meanwhile, so that less evidence suffices.
+     * target refuses requests meanwhile, so that less evidence suffices unless the mean is high itself.
      */
     private double differenceByChance(TargetId most, TargetId least) {
         double deviation = Math.hypot(state.deviation(most), state.deviation(least));
-        double deviations = state.utilization(most) > PlanningState.OVERLOADED
-                ? 1
-                : RANGE_FACTOR * Math.sqrt(Math.log(state.usableTargets));
+        double deviations =
+                state.overloadedUnlikeOthers(most) ? 1 : RANGE_FACTOR * Math.sqrt(Math.log(state.usableTargets));
         return deviations * deviation;
     }
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Evacuation.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Evacuation.java
@@ -114,9 +114,13 @@
                 .anyMatch(adjacent -> PlanningState.nextOwner(adjacent).equals(assignment.owner()));
     }
 
-    /** Returns whether the next owner of a range would hardly notice its load; a busy range would soon move away again. */
+    /**
+     * Returns whether the next owner of a range would hardly notice its load; a busy range would soon move away again. A single
+     * request in a short window may represent more than the limit, so one more than that is allowed in each window.
+     */
     private boolean quiet(Assignment assignment) {
-        return state.loads.highest(assignment.range()) < PlanningState.QUIET_LOAD_SHARE * state.meanCapacity;
+        double limit = PlanningState.QUIET_LOAD_SHARE * state.meanCapacity;
+        return state.loads.withinInEachWindow(assignment.range(), limit);
     }
 
     private List<KeyRange> pieces(Assignment assignment, double loadPerPiece) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlanningState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlanningState.java
@@ -22,6 +22,11 @@
     static final double OVERLOADED = 0.9;
 
     static final double HIGH_UTILIZATION = 0.4;
+    /**
+     * Above this mean utilization an overloaded target needs as much evidence as any other: chance alone makes some targets look
+     * overloaded there, and keys never stopped moving.
+     */
+    private static final double HIGH_MEAN_UTILIZATION = 0.7;
 
     /**
      * The exponent by which faster targets get more than their proportional load while there is spare capacity, since
@@ -67,7 +72,7 @@
         this.meanUtilization = loads.total() / Math.max(1, usableCapacity);
         double spareCapacity = Math.max(0, 1 - meanUtilization);
         this.speedExponent = SPEED_PREFERENCE * spareCapacity;
-        this.maxAdjacentOwnerUtilization = Math.max(HIGH_UTILIZATION, 1 - spareCapacity);
+        this.maxAdjacentOwnerUtilization = Math.max(HIGH_UTILIZATION, meanUtilization);
         countMoves();
     }
 
@@ -124,6 +129,11 @@
         return target == null ? 0 : loads.requestsPerSecond(id) / Math.max(0.1, weightedCapacity(target));
     }
 
+    /** Returns whether a target is overloaded while the mean is so low that this is hardly due to chance. */
+    boolean overloadedUnlikeOthers(TargetId id) {
+        return meanUtilization < HIGH_MEAN_UTILIZATION && utilization(id) > OVERLOADED;
+    }
+
     Optional<PlanTarget> leastUtilized(TargetId except) {
         return leastUtilized(Set.of(except));
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/RangeSelector.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/RangeSelector.java
@@ -14,6 +14,12 @@
     /** The cost of an additional assignment at one assignment per target, expressed as a number of keys. */
     private static final double ASSIGNMENT_COST_KEYS = 8;
 
+    /**
+     * At this number of assignments per target, ranges move only as a whole, since each assignment costs renewals. This doesn't
+     * apply to the ranges of targets that are overloaded unlike others.
+     */
+    private static final int MAX_ASSIGNMENTS_PER_TARGET = 3;
+
     private final PlanningState state;
 
     RangeSelector(PlanningState state) {
@@ -42,7 +48,10 @@
                             * load.sampleWeight()
                             / cost(candidate, whole);
                     // The first and the last key may have more requests than those that were counted off.
-                    if (value > bestValue && requests <= maxRequests && requests >= minRequests) {
+                    if (value > bestValue
+                            && requests <= maxRequests
+                            && requests >= minRequests
+                            && maySplit(from, addedAssignments(candidate, whole))) {
                         bestRange = candidate;
                         bestValue = value;
                     }
@@ -72,9 +81,22 @@
 
     /** Returns the cost of moving a range, in keys: the moved keys, a fixed cost, and the added assignments. */
     private double cost(KeyRange part, KeyRange whole) {
-        int added = (part.first() > whole.first() ? 1 : 0) + (part.last() < whole.last() ? 1 : 0);
         double perTarget = (double) state.table.assignments().size() / state.targets.size();
-        return part.size() + MOVE_COST_KEYS + added * ASSIGNMENT_COST_KEYS * perTarget * perTarget;
+        return part.size()
+                + MOVE_COST_KEYS
+                + addedAssignments(part, whole) * ASSIGNMENT_COST_KEYS * perTarget * perTarget;
+    }
+
+    private static int addedAssignments(KeyRange part, KeyRange whole) {
+        return (part.first() > whole.first() ? 1 : 0) + (part.last() < whole.last() ? 1 : 0);
+    }
+
+    /** Returns whether a move may add assignments, if each move planned so far adds two. Hot ranges are always divided. */
+    private boolean maySplit(TargetId from, int added) {
+        int assignments = state.table.assignments().size() + 2 * state.moves.size();
+        return added == 0
+                || assignments + added < MAX_ASSIGNMENTS_PER_TARGET * state.targets.size()
+                || state.overloadedUnlikeOthers(from);
     }
 
     static Optional<KeyRange> busiestKey(KeyLoad.Snapshot window, KeyRange range) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetLoads.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetLoads.java
@@ -125,12 +125,10 @@
         return windows.get(chosen);
     }
 
-    /** Returns the load of a range in the window in which it is highest. */
-    double highest(KeyRange range) {
+    /** Returns whether the load of a range is below a limit in each window, apart from a single request. */
+    boolean withinInEachWindow(KeyRange range, double requestsPerSecond) {
         return windows.stream()
-                .mapToDouble(window -> window.requestsPerSecond(range))
-                .max()
-                .orElse(0);
+                .allMatch(window -> window.requestsPerSecond(range) < requestsPerSecond + window.sampleWeight());
     }
 
     double total() {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementModel.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementModel.java
@@ -64,6 +64,10 @@
         double capacityPerSecond() {
             return slots * MILLIS_PER_SECOND / workMillis;
         }
+
+        Service withUtilization(double mean) {
+            return new Service(targets, slots, mean * targets * capacityPerSecond(), workMillis, objectiveMillis, seed);
+        }
     }
 
     /**
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementUnderLoadTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementUnderLoadTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -262,6 +263,34 @@
         }
     }
 
+    /** Even loads near and above the capacity of all targets, which no move can improve. */
+    @Nested
+    class HighSteadyLoad {
+
+        private static final double MINUTE_MILLIS = 60_000;
+        private static final int MINUTES = 3;
+
+        static Stream<Service> services() {
+            return SERVICES.stream()
+                    .flatMap(service -> DoubleStream.of(0.8, 0.9, 1.2).mapToObj(service::withUtilization));
+        }
+
+        /** Differences by chance at a high mean moved 5 to 15 ranges a second without end, and most moves added assignments. */
+        @ParameterizedTest
+        @MethodSource("services")
+        void moves_few_ranges_and_adds_few_assignments(Service service) {
+            PlacementModel model = PlacementModel.of(service, 1);
+            model.run(evenLoad(), WARM_UP_MILLIS);
+
+            for (int minute = 0; minute < MINUTES; minute++) {
+                Outcome steady = model.run(evenLoad(), MINUTE_MILLIS);
+
+                assertThat(steady.moves()).isLessThan(service.targets());
+                assertThat(steady.mostAssignments()).isLessThan(service.targets() * MAX_ASSIGNMENTS_PER_TARGET);
+            }
+        }
+    }
+
     @Nested
     class UnsuitableTargets {
 
