Let the test of a new term fail when earlier requests count

Cause: the test planned 400 ms after the requests, at which they fall exactly on the edge of the shortest window and count for nothing. Change: it plans 200 ms after them. Result: the test fails when startLeading keeps the requests, and passes as it is.

--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementReportTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementReportTest.java
@@ -92,7 +92,8 @@
         hotKeys(100);
         machine.stopLeading();
         machine.startLeading(FormerGrantors.NONE, now, now);
-        now += 400;
+        // Within the shortest window, so that requests of the earlier term would count.
+        now += 200;
 
         machine.tick(true, now);
 
