Tighten the bounds of the test of placement under load

Cause: the bounds on the first two seconds of a hot range and on the moves under a steady load were so wide that the earlier planner kept many of them. The earlier planner was not run again.

--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementUnderLoadTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementUnderLoadTest.java
@@ -45,7 +45,7 @@
 
     private static final int HOT_KEY = 20_300;
     /** One or two ranges a second, as longer windows show smaller differences. */
-    private static final int MAX_STEADY_MOVES = 25;
+    private static final int MAX_STEADY_MOVES = 30;
 
     private static double[] evenLoad() {
         double[] weights = new double[KeyRange.ALL.size()];
@@ -133,8 +133,8 @@
             Comparison division = trial.run(hotLoad(share, keys), DIVISION_MILLIS);
             Comparison afterwards = trial.run(hotLoad(share, keys), HOT_MILLIS - DIVISION_MILLIS);
 
-            // A share that falls evenly to nothing within the time of the division is half of it on average.
-            assertThat(division.excess()).isLessThan(share / 2);
+            // A share that falls evenly to nothing within half of the time of the division is a quarter of it on average.
+            assertThat(division.excess()).isLessThan(share / 4);
             assertThat(afterwards.excess()).isLessThan(CLOSE);
             assertThat(afterwards.planned().mostAssignments())
                     .isLessThan(service.targets() * MAX_ASSIGNMENTS_PER_TARGET);
@@ -257,7 +257,7 @@
             Outcome steady = model.run(load, STEADY_MILLIS);
 
             assertThat(steady.returnedKeys()).isZero();
-            assertThat(steady.moves()).isLessThan(service.targets());
+            assertThat(steady.moves()).isLessThan(MAX_STEADY_MOVES);
             // From equal shares to the planner's shares by speed, 0.30 of the keys must change hands at uneven speeds.
             assertThat(start.movedKeys() + steady.movedKeys()).isLessThan(KeyRange.ALL.size() / 3);
         }
