Show loads above 20,480 requests a second in full

Cause: the samples kept then cover less than 400 ms, but the load was taken as if they covered at least that. Change: the minimum of 400 ms applies only while no sample was dropped within it. Otherwise it is 100 ms, since a report brings many requests at the same time and the part of it that is kept would count as a load of millions. Result: 60,000 requests a second show within 1,500; the test failed before. Loads above 81,920 are still cut off, and a single report of more requests than samples are kept shows as 81,920 (second test).

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/KeyLoad.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/KeyLoad.java
@@ -14,12 +14,20 @@
     private static final long[] WINDOWS_MILLIS = {400, WINDOW_MILLIS, 3_000, 8_000};
 
     private static final long LONGEST_WINDOW_MILLIS = 8_000;
+    /**
+     * The least time that counts as covered when samples were dropped. Hosts report many requests at once, and a part of one
+     * report would look like a load of millions of requests per second.
+     */
+    private static final long MIN_COMPLETE_MILLIS = 100;
+
     private static final int MAX_SAMPLES = 8_192;
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final Deque<Sample> samples = new ArrayDeque<>();
     /** Since when all requests are among the samples. */
     private long completeSince = Long.MAX_VALUE;
+    /** The time of the latest sample that was dropped for the number of samples. */
+    private long droppedAt = Long.MIN_VALUE;
 
     private record Sample(long timeMillis, int key) {}
 
@@ -34,7 +42,8 @@
         completeSince = Math.min(completeSince, now);
         samples.addLast(new Sample(now, key));
         if (samples.size() > MAX_SAMPLES) {
-            completeSince = samples.removeFirst().timeMillis;
+            droppedAt = samples.removeFirst().timeMillis;
+            completeSince = droppedAt;
         }
     }
 
@@ -55,7 +64,9 @@
             samples.removeFirst();
         }
         // Requests before the first one, or beyond the number of samples kept, are unknown, not absent.
-        long knownMillis = Math.max(now - completeSince, minMillis);
+        // Dropped samples would count as absent within the minimum.
+        boolean dropped = droppedAt > now - minMillis;
+        long knownMillis = Math.max(now - completeSince, dropped ? MIN_COMPLETE_MILLIS : minMillis);
         long coveredMillis = Math.min(windowMillis, knownMillis);
         int[] keys = samples.stream()
                 .filter(sample -> sample.timeMillis > now - coveredMillis)
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementUnderLoadTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/PlacementUnderLoadTest.java
@@ -133,7 +133,8 @@
             Comparison division = trial.run(hotLoad(share, keys), DIVISION_MILLIS);
             Comparison afterwards = trial.run(hotLoad(share, keys), HOT_MILLIS - DIVISION_MILLIS);
 
-            // A share that falls evenly to nothing within half of the time of the division is a quarter of it on average.
+            // A share that falls evenly to nothing within half of the time of the division is a quarter of it on
+            // average.
             assertThat(division.excess()).isLessThan(share / 4);
             assertThat(afterwards.excess()).isLessThan(CLOSE);
             assertThat(afterwards.planned().mostAssignments())
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/TargetLoadsTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/TargetLoadsTest.java
@@ -98,4 +98,24 @@
         assertThat(load.windows(10_000))
                 .allSatisfy(window -> assertThat(window.requestsPerSecond(KEYS)).isCloseTo(20_000, within(500.0)));
     }
+
+    /** The samples of a load above 20,480 requests a second cover less than the shortest window, and the rest was cut off. */
+    @Test
+    void samples_that_cover_less_than_the_shortest_window_show_the_whole_load() {
+        requests(60_000, KEYS, 0, 2_000);
+
+        assertThat(load.windows(2_000))
+                .allSatisfy(window -> assertThat(window.requestsPerSecond(KEYS)).isCloseTo(60_000, within(1_500.0)));
+    }
+
+    /** The samples kept of one large report have the same time, which must not count as the time that they cover. */
+    @Test
+    void a_part_of_a_large_report_shows_no_more_than_the_samples_of_a_tenth_of_a_second() {
+        for (int i = 0; i < 12_000; i++) {
+            load.recordRequest(KEYS.first() + i * 359 % KEYS.size(), 2_000);
+        }
+
+        assertThat(load.windows(2_000))
+                .allSatisfy(window -> assertThat(window.requestsPerSecond(KEYS)).isBetween(60_000.0, 82_000.0));
+    }
 }
