Count only evacuation moves against their limit

Cause: the limit counted all moves in progress, so that balancing moves held up the keys of lost targets, which nobody serves. Change: only moves away from targets that cannot own keys count. Result: with 64 balancing moves in progress the range of a lost target moves; the test failed before.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Evacuation.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Evacuation.java
@@ -43,7 +43,7 @@
                 .sorted(Comparator.comparingDouble(assignment -> -state.load(assignment.owner(), assignment.range())))
                 .forEach(assignment -> {
                     for (KeyRange piece : pieces(assignment, loadPerPiece)) {
-                        if (state.activeMoves + state.moves.size() < maxMoves) {
+                        if (state.activeEvacuations + state.moves.size() < maxMoves) {
                             destinationOf(piece, assignment).ifPresent(to -> state.move(piece, assignment.owner(), to));
                         }
                     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlanningState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/PlanningState.java
@@ -50,6 +50,8 @@
     private final double speedExponent;
     final double maxAdjacentOwnerUtilization;
     int activeMoves;
+    /** The moves in progress away from targets that cannot own keys. */
+    int activeEvacuations;
     /** The load of the ranges whose balancing moves are in progress or planned, with the cost of the moves themselves. */
     double movingRequestsPerSecond;
 
@@ -106,6 +108,8 @@
             // them.
             if (ownerUsable(assignment)) {
                 movingRequestsPerSecond += load(nextOwner, assignment.range()) + MOVE_COST_REQUESTS_PER_SECOND;
+            } else {
+                activeEvacuations++;
             }
         }
     }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/ShardPlannerTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/ShardPlannerTest.java
@@ -100,6 +100,23 @@
             assertThat(moves).noneMatch(move -> move.to().equals(TargetId.of("t0")));
         }
 
+        /** Moves between usable targets used up the limit for moves away from lost ones, whose keys nobody serves. */
+        @Test
+        void its_keys_move_while_many_other_moves_are_in_progress() {
+            ShardTable table = ShardPlanner.initial(targets(4));
+            for (int i = 0; i < 64; i++) {
+                KeyRange range = new KeyRange(20_000 + i * 100, 20_000 + i * 100 + 49);
+                Move move = new Move(TargetId.of("t2"), 1, 101 + 2 * i);
+                table = table.with(new Assignment(range, TargetId.of("t1"), 1, 100 + 2 * i, Optional.of(move)));
+            }
+            KeyRange lost = new KeyRange(10, 400);
+            table = table.with(new Assignment(lost, TargetId.of("gone"), 1, 500, Optional.empty()));
+
+            assertThat(ShardPlanner.plan(table, targets(4), noLoad()))
+                    .extracting(PlannedMove::range)
+                    .contains(lost);
+        }
+
         @Test
         void a_small_range_without_requests_is_not_split() {
             ShardTable table = ShardPlanner.initial(targets(4))
