Lender claims are written eight at a time

The store takes at most 32 entries in one write. A host that claims all 16 partitions sent 16 preconditions, 16 values and the precondition on the next epoch's mark, was refused each time, and no host became a lender. The stores of the tests now have the limit.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -1,5 +1,6 @@
 package org.dragonflymux.gateway.control;
 
+import com.google.common.collect.Lists;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -45,6 +46,11 @@
      * and a write is under way for some seconds only.
      */
     private static final long MARKED_EPOCHS = 3;
+    /**
+     * The store takes at most 32 preconditions, values and removals in one write. A claim takes two, and the client adds a
+     * precondition.
+     */
+    private static final int MAX_LENDER_CLAIMS_PER_WRITE = 8;
 
     private final StoreClient store;
     private final MembershipStateMachine membership;
@@ -286,6 +292,10 @@
             lenderElection.claimEnded(now);
             return;
         }
+        Lists.partition(claims, MAX_LENDER_CLAIMS_PER_WRITE).forEach(this::writeLenderClaims);
+    }
+
+    private void writeLenderClaims(List<LenderElection.Claim> claims) {
         byte[] record = FleetRecords.encodeLender(membership.self(), membership.lease());
         List<StoreClient.ExpectedRevision> expected = new ArrayList<>();
         List<StoreClient.Put> puts = new ArrayList<>();
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/KeyOwnershipUnderFaultsTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.stream.LongStream;
+import org.dragonflymux.core.quota.LenderPartition;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against two targets that hold the same key for over half a second, that work on it at the same time, or of which the
@@ -265,6 +267,22 @@
             assertRulesHold(deployment);
         }
 
+        /**
+         * A host that had the first term of an epoch and waited for earlier holds took itself for the only grantor when the store
+         * came back once more, and granted by its table of two epochs before at once.
+         */
+        @ParameterizedTest
+        @MethodSource(SEEDS)
+        void gives_no_key_two_owners_when_it_comes_back_again_soon(long seed) {
+            SimulatedDeployment deployment = startedWithCopies(seed, HOSTS);
+            deployment.repeat(2_000, 8_000, () -> deployment.restoreStore(3_000, 1_000));
+            deployment.repeat(3_000, 9_000, () -> deployment.isolateGrantor(2_000, 6_000));
+            deployment.repeat(1_500, 4_000, () -> deployment.replaceTarget(2_500, 1_000));
+            deployment.repeat(4_000, 12_000, () -> deployment.cutOffTargetFromMostHosts(8_000, 14_000));
+
+            assertRulesHold(deployment);
+        }
+
         /** A table that the store has lost stayed unwritten, or its outdated owners stayed without grants. */
         @ParameterizedTest
         @MethodSource(SEEDS)
@@ -279,6 +297,21 @@
         }
     }
 
+    @Nested
+    class LenderPartitions {
+
+        /** One write with all claims of a host had 33 entries, of which the store takes 32, so that no host ever became a lender. */
+        @ParameterizedTest
+        @ValueSource(longs = {0, 1})
+        void are_all_claimed_by_a_single_host_in_a_store_of_any_epoch(long epoch) {
+            SimulatedDeployment deployment = new SimulatedDeployment(1, 1, TARGETS);
+            deployment.store().startInEpoch(epoch);
+            deployment.runUntil(START_MILLIS);
+
+            assertThat(deployment.store().heldLenderPartitions()).isEqualTo(LenderPartition.COUNT);
+        }
+    }
+
     @Nested
     class OwnersAfterFaults {
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
@@ -20,6 +20,7 @@
 import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.core.name.TargetId;
+import org.dragonflymux.gateway.control.FleetRecords;
 import org.dragonflymux.gateway.store.EpochGuard;
 import org.dragonflymux.gateway.store.StoreClient;
 import org.dragonflymux.gateway.store.StoreError;
@@ -37,6 +38,9 @@
     private static final int MIN_LATE_WRITE_MILLIS = 1_000;
     private static final int MAX_LATE_WRITE_MILLIS = 6_000;
     private static final long SNAPSHOT_MILLIS = 10;
+    /** The store refuses a write with more preconditions and values together. */
+    private static final int MAX_ENTRIES_PER_WRITE = 32;
+
     private static final long HISTORY_MILLIS = 10_000;
     /** Within which time a target writes its entry again after the store came back from a copy. */
     private static final int MAX_REWRITE_MILLIS = 1_500;
@@ -210,6 +214,13 @@
         }
     }
 
+    /** Returns how many lender partitions have a holder. */
+    long heldLenderPartitions() {
+        return items.keySet().stream()
+                .filter(key -> key.startsWith(FleetRecords.LENDER_PARTITION_PREFIX))
+                .count();
+    }
+
     /** Returns the present revision, qualified by the epoch. */
     long revision() {
         return StoreEpoch.qualify(epoch, revision);
@@ -323,6 +334,9 @@
     }
 
     private Either<StoreError, Long> commit(List<StoreClient.ExpectedRevision> expected, List<StoreClient.Put> puts) {
+        if (expected.size() + puts.size() > MAX_ENTRIES_PER_WRITE) {
+            return Either.left(StoreError.REFUSED);
+        }
         if (expected.stream().anyMatch(row -> revisionOf(row.key()) != row.revision())) {
             return Either.left(StoreError.CONFLICT);
         }
