A lender that still waits after a restore waits anew after the next one

A lender that had claimed a partition shortly before another restore counted as its only lender, while a lender of two epochs before could still lend. It now counts as such only if its wait for others had ended.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.dragonflymux.core.desired.CustomerSpec;
 import org.dragonflymux.core.membership.MembershipStateMachine;
@@ -120,13 +121,16 @@
         boolean holdsEarlierClaims = held.stream()
                 .anyMatch(partition -> StoreEpoch.of(partition.lease()) < StoreEpoch.of(partition.epoch()));
         if (readIn > storeEpoch) {
+            // A host that still waits for the lenders of an earlier restore isn't the only one that may lend.
+            Set<Integer> heldNow = storeEpoch >= 0 && readIn == storeEpoch + 1
+                    ? partitions.values().stream()
+                            .filter(partition ->
+                                    heldUnderKnownLease(partition, now) && lendsNobodyElseSince(partition) <= now)
+                            .map(LenderPartition::number)
+                            .collect(Collectors.toSet())
+                    : Set.of();
             heldThroughRestore.clear();
-            if (storeEpoch >= 0 && readIn == storeEpoch + 1) {
-                partitions.values().stream()
-                        .filter(partition -> heldUnderKnownLease(partition, now))
-                        .map(LenderPartition::number)
-                        .forEach(heldThroughRestore::add);
-            }
+            heldThroughRestore.addAll(heldNow);
             restoreKnownSince = storeEpoch >= 0 || holdsEarlierClaims ? now : restoreKnownSince;
             storeEpoch = readIn;
         }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LendingAfterRestoreTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/quota/LendingAfterRestoreTest.java
@@ -98,4 +98,17 @@
 
         assertThat(lends()).isTrue();
     }
+
+    /** Guards against a lender of two epochs before that still lends, as the store came back again before its lease ended. */
+    @Test
+    void a_lender_that_still_waits_when_the_store_comes_back_again_waits_for_the_leases_of_others() {
+        lender.replacePartitions(List.of(partition("b", StoreEpoch.qualify(1, 3), StoreEpoch.qualify(1, 50))), now);
+        claimInEpochTwo();
+        now += 100;
+        long lease = StoreEpoch.qualify(3, 7);
+        lender.updateLease(lease, Long.MAX_VALUE, now);
+        lender.replacePartitions(List.of(partition("a", lease, StoreEpoch.qualify(3, 51))), now);
+
+        assertWaitsForLeases();
+    }
 }
