A grantor that still waits after a restore proves nothing for the next epoch

When the store came back twice in short succession, the holder of the first term of the epoch between counted as the only grantor, wrote its table of two epochs before anew at once and renewed by it for longer than others wait. The proof now holds only for services whose table the term could grant by, and a term that only waited doesn't extend the renewals of those before it.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -241,7 +241,12 @@
      * earlier one.
      */
     public boolean renewsEarlierEpoch(long now) {
-        return activeTerm.isPresent() && now < earlierEpochConfirmedAt + renewalGraceMillis;
+        return activeTerm.isPresent() && now < earlierEpochRenewalsEndAt();
+    }
+
+    /** Returns until when this host may renew what it granted in its last term of an earlier epoch. */
+    public long earlierEpochRenewalsEndAt() {
+        return earlierEpochConfirmedAt + renewalGraceMillis;
     }
 
     /** Returns until when the lease is known to be valid, with a margin for a local clock slower than the store's. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -186,6 +186,14 @@
         renewsEarlierEpoch = renewing;
     }
 
+    /**
+     * Returns whether the known table is one that the last term of this host could grant by. Otherwise that term still waited for
+     * the holds of an earlier epoch of the store, and its table says nothing of who has the keys.
+     */
+    public boolean tableIsOfLastTerm() {
+        return !isOfEarlierEpoch(table);
+    }
+
     /** Returns whether nothing may be granted by a table, as the store came back from a copy since it was written. */
     private boolean isOfEarlierEpoch(ShardTable any) {
         return any.lastFence() < fenceFloor;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -59,6 +59,10 @@
     private boolean soleGrantorBefore;
 
     private long epoch;
+    /** The services whose table the last term of the epoch before could grant by. */
+    private Set<ServiceName> grantedBeforeRestore = Set.of();
+    /** Until when this host may renew what it granted in an earlier epoch, by the lease clock. */
+    private final Map<ServiceName, Long> earlierRenewalsEndAt = new HashMap<>();
 
     /**
      * A table as this host knows it.
@@ -145,7 +149,7 @@
             return;
         }
         StoredTable known = tables.get(service);
-        if (known != null && isRestored(table, revision, known)) {
+        if (known != null && isRestored(service, table, revision, known)) {
             LOG.info("event=table_restored service={} lastFence={} revision={}", service, table.lastFence(), revision);
             keepTable(service, known, revision);
             return;
@@ -162,11 +166,12 @@
      * Returns whether a stored table is of an earlier epoch, and the known one shows the owners better: each change of owners
      * takes a higher fencing token, and the only grantor of the epoch before knows by which table it acted.
      */
-    private boolean isRestored(ShardTable stored, long revision, StoredTable known) {
+    private boolean isRestored(ServiceName service, ShardTable stored, long revision, StoredTable known) {
         long storedEpoch = StoreEpoch.of(revision);
         return storedEpoch > known.contentEpoch()
                 && stored.lastFence() < StoreEpoch.fenceFloor(storedEpoch)
-                && (soleGrantorBefore || stored.lastFence() <= known.table().lastFence());
+                && (soleGrantorOf(service)
+                        || stored.lastFence() <= known.table().lastFence());
     }
 
     /**
@@ -175,10 +180,24 @@
      * @param soleGrantor whether this host was the only grantor until the store came back in this epoch
      */
     void epochRead(long readEpoch, boolean soleGrantor) {
+        if (readEpoch > epoch) {
+            grantedBeforeRestore = grantStateMachines.values().stream()
+                    .filter(GrantStateMachine::tableIsOfLastTerm)
+                    .map(GrantStateMachine::service)
+                    .collect(Collectors.toSet());
+        }
         epoch = readEpoch;
         soleGrantorBefore = soleGrantor;
     }
 
+    /**
+     * Returns whether the table in memory names all owners of a service's keys. A term that still waited for the holds of an
+     * earlier epoch when the store came back again proves nothing of it.
+     */
+    private boolean soleGrantorOf(ServiceName service) {
+        return soleGrantorBefore && grantedBeforeRestore.contains(service);
+    }
+
     /** Records that requests for keys arrived at any host. */
     void recordKeyRequests(Map<ServiceName, int[]> keys) {
         if (term.isEmpty()) {
@@ -227,14 +246,26 @@
     }
 
     private void startLeading(GrantStateMachine grantStateMachine) {
+        if (term.isPresent()) {
+            limitEarlierRenewals(grantStateMachine.service());
+        }
         term.ifPresent(current -> grantStateMachine.startLeading(
                 current.formerGrantors(),
                 termKnownSince,
                 current.fenceFloor(),
-                soleGrantorBefore,
+                soleGrantorOf(grantStateMachine.service()),
                 holdClock.nowMillis()));
     }
 
+    /** A term that could not grant by its table doesn't extend the renewals of the terms before it. */
+    private void limitEarlierRenewals(ServiceName service) {
+        long end = membership.earlierEpochRenewalsEndAt();
+        earlierRenewalsEndAt.merge(
+                service,
+                end,
+                (known, latest) -> grantedBeforeRestore.contains(service) ? latest : Math.min(known, latest));
+    }
+
     /** Runs the state machines and carries out the effects that are due. */
     void tick() {
         failures.tick(leaseClock.nowMillis());
@@ -243,7 +274,9 @@
 
     private void tick(GrantStateMachine grantStateMachine) {
         boolean termConfirmed = membership.termConfirmed(leaseClock.nowMillis());
-        grantStateMachine.renewsEarlierEpoch(membership.renewsEarlierEpoch(leaseClock.nowMillis()));
+        long now = leaseClock.nowMillis();
+        grantStateMachine.renewsEarlierEpoch(membership.renewsEarlierEpoch(now)
+                && now < earlierRenewalsEndAt.getOrDefault(grantStateMachine.service(), Long.MIN_VALUE));
         run(grantStateMachine, grantStateMachine.tick(termConfirmed, holdClock.nowMillis()));
     }
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopAfterRestoreTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopAfterRestoreTest.java
@@ -266,4 +266,41 @@
         assertThat(FleetRecords.grantorTerm(record).orElseThrow().restored()).isFalse();
         assertThat(FleetRecords.grantorTerm(record).orElseThrow().fenceFloor()).isEqualTo(StoreEpoch.fenceFloor(2));
     }
+
+    /** Guards against two owners: while this host waits for the holds of epoch 1, the store comes back once more. */
+    @Test
+    void a_grantor_that_still_waits_when_the_store_comes_back_again_waits_on() {
+        now += MembershipStateMachine.LEASE_MILLIS;
+        restoreWith(Optional.of(table(EARLIER_OWNER, 40)));
+        claim();
+        tickFor(500);
+        claims.clear();
+        epoch = 3;
+        recordsWith(term(SELF, 2), 8, Optional.of(table(EARLIER_OWNER, 40)), 4);
+        claim();
+        tickFor(5_000);
+
+        assertThat(tableWrites).isEmpty();
+        tickFor(SETTINGS.renewalGraceMillis() + SETTINGS.worstCaseHoldMillis() + SETTINGS.callTimeoutMillis());
+        assertThat(tableWrites).isNotEmpty();
+    }
+
+    /** Guards against renewals of epoch 1 beyond the time for which others wait, counted from the short term of epoch 2. */
+    @Test
+    void a_term_that_only_waited_does_not_extend_the_renewals_of_an_earlier_epoch() {
+        now += MembershipStateMachine.LEASE_MILLIS;
+        restoreWith(Optional.of(table(EARLIER_OWNER, 40)));
+        claim();
+        tickFor(5_000);
+        claims.clear();
+        epoch = 3;
+        recordsWith(term(SELF, 2), 8, Optional.of(table(EARLIER_OWNER, 40)), 4);
+        claim();
+        tickFor(1_000);
+        grants.clear();
+        tickFor(2_000);
+
+        assertThat(tableWrites).isEmpty();
+        assertThat(grants).isEmpty();
+    }
 }
