A known epoch of the store rises only when two answers in a row state it

One damaged header, 12 instead of 1, raised the epoch of a host for good, and values read under it were accepted and relayed. A higher epoch now counts when the next answer states it as well; the first answer isn't acknowledged, and a read is repeated at once, so that the return after a restore stays as fast. The tests that raised the epoch by one answer now send two.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/EpochGuard.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/EpochGuard.java
@@ -19,8 +19,13 @@
 
     private static final Logger LOG = LogManager.getLogger(EpochGuard.class);
     private static final long UNKNOWN = -1;
+    /** One answer to confirm a higher epoch, and one to a call that was sent in it. */
+    private static final int MAX_READ_REPEATS = 2;
 
     private long current = UNKNOWN;
+    /** A higher epoch that only the last answer has stated. */
+    private long unconfirmed = UNKNOWN;
+
     private boolean stated;
 
     private EpochGuard() {}
@@ -41,7 +46,9 @@
     }
 
     /**
-     * Records an answer of the store.
+     * Records an answer of the store. A known epoch rises only when two answers in a row state the same higher one: a single
+     * damaged header would end the leases of all hosts, and no answer with the true epoch would count any more. The first of
+     * the two isn't acknowledged.
      *
      * @param epoch the epoch that the answer states, empty if it states none
      * @return the epoch of the answer
@@ -49,12 +56,13 @@
     public long answered(Optional<Long> epoch) {
         long answeredIn = epoch.filter(StoreEpoch::isValid).orElse(0L);
         stated |= epoch.isPresent();
-        if (answeredIn > current) {
-            if (current != UNKNOWN) {
-                LOG.warn("event=store_epoch epoch={} before={}", answeredIn, current);
-            }
+        if (current == UNKNOWN) {
+            current = answeredIn;
+        } else if (answeredIn > current && answeredIn == unconfirmed) {
+            LOG.warn("event=store_epoch epoch={} before={}", answeredIn, current);
             current = answeredIn;
         }
+        unconfirmed = answeredIn > current ? answeredIn : UNKNOWN;
         return answeredIn;
     }
 
@@ -63,6 +71,16 @@
         return answeredIn == current && (sentIn == UNKNOWN || sentIn == answeredIn);
     }
 
+    /**
+     * Returns whether a read whose answer isn't acknowledged is to be repeated at once: the next answer confirms a higher epoch or
+     * shows that the header was damaged, and the one after it is of the confirmed epoch.
+     *
+     * @param repeats how many times the read has been repeated already
+     */
+    public static boolean repeatsRead(int repeats) {
+        return repeats < MAX_READ_REPEATS;
+    }
+
     /** Returns whether a revision or lease id is of another epoch than the present one, so that the store doesn't know it. */
     public boolean isOutdated(long qualified) {
         return qualified != 0 && current != UNKNOWN && StoreEpoch.of(qualified) != current;
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/EpochGuardTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/EpochGuardTest.java
@@ -39,6 +39,7 @@
             guard.answered(Optional.of(1L));
             long sentIn = guard.sendingIn();
             guard.answered(Optional.of(2L));
+            guard.answered(Optional.of(2L));
             long answeredIn = guard.answered(Optional.of(1L));
 
             assertThat(guard.result(sentIn, answeredIn, Either.right(7L))).isEqualTo(Either.left(StoreError.UNKNOWN));
@@ -64,6 +65,31 @@
                     .containsExactly(new StoreClient.ExpectedRevision("key", 40));
         }
 
+        /** Guards against one damaged header, "12" instead of "1", after which no answer of the store counted any more. */
+        @Test
+        void with_a_higher_epoch_that_no_other_confirms_does_not_raise_it() {
+            guard.answered(Optional.of(1L));
+            long sentIn = guard.sendingIn();
+            long answeredIn = guard.answered(Optional.of(12L));
+
+            assertThat(guard.acknowledges(sentIn, answeredIn)).isFalse();
+            assertThat(guard.epoch()).isEqualTo(1);
+            assertThat(guard.acknowledges(sentIn, guard.answered(Optional.of(1L))))
+                    .isTrue();
+            guard.answered(Optional.of(12L));
+            guard.answered(Optional.of(13L));
+            assertThat(guard.epoch()).isEqualTo(1);
+        }
+
+        @Test
+        void with_a_higher_epoch_raises_it_if_the_next_one_states_the_same() {
+            guard.answered(Optional.of(1L));
+            guard.answered(Optional.of(2L));
+            guard.answered(Optional.of(2L));
+
+            assertThat(guard.epoch()).isEqualTo(2);
+        }
+
         @Test
         void with_an_impossible_epoch_does_not_raise_it() {
             guard.answered(Optional.of(1L));
