Terms name their own epoch, and a record without one isn't taken for a restored one

A claim named the epoch of the host's copy, and counted as over at once if the copy was older than the lease. Records of earlier versions have no epoch, and a live grantor of such a version was deposed. Records now name epoch 0 too. The store of ControlLoopAfterRestoreTest refuses outdated leases, as the client does.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
@@ -19,6 +19,8 @@
 
     /** Whether no host has claimed the role in the present epoch. */
     private boolean beginsEpoch = true;
+    /** The holder of the last term, if it has an earlier version and may have begun the term in the present epoch. */
+    private Optional<FleetMember> holderOfUnknownEpoch = Optional.empty();
 
     private long epoch = -1;
     /** Since when this host has known the present epoch, which is no earlier than the return of the store. */
@@ -75,8 +77,11 @@
     public void lastTermChanged(Optional<GrantorTerm> term, long revision, long now) {
         if (revision != lastTermRevision) {
             // A term of an earlier epoch says nothing of the terms that the store has lost.
-            lastTerm = term.filter(last -> !last.restored());
-            beginsEpoch = revision == 0 || term.filter(GrantorTerm::restored).isPresent();
+            lastTerm = term.filter(last -> !last.restored() && !last.epochUnknown());
+            holderOfUnknownEpoch = term.filter(GrantorTerm::epochUnknown).map(GrantorTerm::holder);
+            beginsEpoch = revision == 0
+                    || holderOfUnknownEpoch.isPresent()
+                    || term.filter(GrantorTerm::restored).isPresent();
             lastTermRevision = revision;
             knownSince = now;
         }
@@ -84,6 +89,14 @@
 
     /** Returns the former grantors of a term that this host claims now. */
     public FormerGrantors formerGrantors(Map<HostId, FleetMember> members, long now) {
+        if (holderOfUnknownEpoch.isPresent()) {
+            // Its holder may have been the grantor up to now; those before it had no lease since its record was read.
+            FleetMember holder = holderOfUnknownEpoch.get();
+            return FormerGrantors.unnamed(renewalGraceMillis)
+                    .remainingAfter(now - Math.max(epochKnownSince, knownSince))
+                    .with(new FormerGrantor(holder.host(), holder.incarnation(), renewalGraceMillis))
+                    .without(former -> hasEnded(former, members));
+        }
         if (beginsEpoch && formerBeforeRestore.isPresent()) {
             return formerBeforeRestore
                     .get()
@@ -107,7 +120,7 @@
      * in memory name all owners.
      */
     public boolean soleGrantorBefore() {
-        return formerBeforeRestore.isPresent();
+        return formerBeforeRestore.isPresent() && holderOfUnknownEpoch.isEmpty();
     }
 
     /** Returns whether a term that this host claims now follows a return of the store from a copy, in whichever epoch. */
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorTerm.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorTerm.java
@@ -11,6 +11,7 @@
  * @param fenceFloor all fencing tokens of the term are above it; 0 if the store never came back from a copy. A table with lower
  *     ones is of an earlier epoch of the store, and its owners may be outdated
  * @param restored whether the record was written in an earlier epoch of the store than it was read in, so that the term is over
+ * @param epochUnknown whether a host of an earlier version wrote the record, in this epoch of the store or an earlier one
  */
 public record GrantorTerm(
         FleetMember holder,
@@ -18,10 +19,22 @@
         long revision,
         FormerGrantors formerGrantors,
         long fenceFloor,
-        boolean restored) {
+        boolean restored,
+        boolean epochUnknown) {
+
+    /** Creates a term whose epoch is known. */
+    public GrantorTerm(
+            FleetMember holder,
+            long lease,
+            long revision,
+            FormerGrantors formerGrantors,
+            long fenceFloor,
+            boolean restored) {
+        this(holder, lease, revision, formerGrantors, fenceFloor, restored, false);
+    }
 
     /** Creates a term of a store that never came back from a copy. */
     public GrantorTerm(FleetMember holder, long lease, long revision, FormerGrantors formerGrantors) {
-        this(holder, lease, revision, formerGrantors, 0, false);
+        this(holder, lease, revision, formerGrantors, 0, false, false);
     }
 }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorAfterRestoreTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorAfterRestoreTest.java
@@ -91,6 +91,22 @@
                     .containsExactly(new FormerGrantor(other.host(), 5, 7_000));
         }
 
+        /** Guards against a term that doesn't wait for a host of an earlier version, which may be the grantor of this epoch. */
+        @Test
+        void waits_for_the_holder_of_a_record_without_an_epoch() {
+            epochOne(self, FormerGrantors.NONE);
+            succession.epochSeen(2, true, now);
+            now += 20_000;
+            GrantorTerm term = new GrantorTerm(other, LEASE, RESTORED_REVISION, FormerGrantors.NONE, 0, false, true);
+            succession.lastTermChanged(Optional.of(term), RESTORED_REVISION, now);
+
+            assertThat(succession.soleGrantorBefore()).isFalse();
+            assertThat(succession.formerGrantors(Map.of(), now).unnamedMillis()).isEqualTo(GRACE_MILLIS);
+            now += 20_000;
+            assertThat(succession.formerGrantors(Map.of(), now).named())
+                    .containsExactly(new FormerGrantor(other.host(), 5, GRACE_MILLIS));
+        }
+
         /** Guards against a proof that is too old: the epoch in between may have had another grantor. */
         @Test
         void does_not_take_a_host_for_the_sole_grantor_if_an_epoch_was_missed() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -245,14 +245,16 @@
             case MembershipEffect.ClaimGrantorRole claim -> {
                 FormerGrantors formerGrantors = succession.formerGrantors(membership.members(), holdClock.nowMillis());
                 boolean followsRestore = succession.followsRestore();
-                byte[] record =
-                        FleetRecords.encodeTerm(claim.record(), claim.lease(), formerGrantors, epoch, followsRestore);
+                // The copy of the store may be of an earlier epoch than the lease.
+                long termEpoch = StoreEpoch.of(claim.lease());
+                byte[] record = FleetRecords.encodeTerm(
+                        claim.record(), claim.lease(), formerGrantors, termEpoch, followsRestore);
                 List<StoreClient.Put> puts = new ArrayList<>();
                 puts.add(new StoreClient.Put(FleetRecords.GRANTOR_KEY, record, claim.lease()));
                 puts.add(new StoreClient.Put(FleetRecords.LAST_GRANTOR_KEY, record, 0));
                 if (followsRestore) {
                     // Writes that were sent in the epochs before are refused from now on.
-                    for (long since = Math.max(1, epoch - MARKED_EPOCHS + 1); since <= epoch; since++) {
+                    for (long since = Math.max(1, termEpoch - MARKED_EPOCHS + 1); since <= termEpoch; since++) {
                         puts.add(new StoreClient.Put(FleetRecords.epochKey(since), record, 0));
                     }
                 }
@@ -325,8 +327,12 @@
             return;
         }
         nextTermUpdateAt = now + TERM_UPDATE_INTERVAL_MILLIS;
-        byte[] record =
-                FleetRecords.encodeTerm(term.holder(), term.lease(), FormerGrantors.NONE, epoch, term.fenceFloor() > 0);
+        byte[] record = FleetRecords.encodeTerm(
+                term.holder(),
+                term.lease(),
+                FormerGrantors.NONE,
+                StoreEpoch.of(term.revision()),
+                term.fenceFloor() > 0);
         store.commit(
                 List.of(
                         new StoreClient.ExpectedRevision(FleetRecords.GRANTOR_KEY, term.revision()),
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/FleetRecords.java
@@ -119,9 +119,8 @@
                     .put("incarnation", former.incarnation())
                     .put("renewsForMillis", former.renewsForMillis());
         }
-        if (epoch > 0) {
-            record.put("epoch", epoch).put("followsRestore", followsRestore);
-        }
+        // Records of earlier versions have no epoch, so that one of epoch 0 is told from them.
+        record.put("epoch", epoch).put("followsRestore", followsRestore);
         return serialize(record);
     }
 
@@ -143,11 +142,12 @@
             FormerGrantors formerGrantors = formerGrantors(node);
             long lease = node.path("lease").asLong();
             long epoch = StoreEpoch.of(item.revision());
-            boolean restored = node.path("epoch").asLong() < epoch;
+            boolean epochUnknown = epoch > 0 && !node.path("epoch").canConvertToLong();
+            boolean restored = !epochUnknown && node.path("epoch").asLong() < epoch;
             long fenceFloor = node.path("followsRestore").asBoolean() ? StoreEpoch.fenceFloor(epoch) : 0;
             return member(item.value())
-                    .map(holder ->
-                            new GrantorTerm(holder, lease, item.revision(), formerGrantors, fenceFloor, restored));
+                    .map(holder -> new GrantorTerm(
+                            holder, lease, item.revision(), formerGrantors, fenceFloor, restored, epochUnknown));
         } catch (IOException | InvalidNameException unreadable) {
             return Optional.empty();
         }
@@ -160,11 +160,16 @@
             return FormerGrantors.unnamed(GrantSettings.RENEWAL_GRACE_MILLIS);
         }
         List<FormerGrantor> named = new ArrayList<>();
-        for (JsonNode former : term.path("formerGrantors")) {
-            named.add(new FormerGrantor(
-                    HostId.of(former.path("host").asText()),
-                    former.path("incarnation").asLong(),
-                    renewalMillis(former.path("renewsForMillis"))));
+        try {
+            for (JsonNode former : term.path("formerGrantors")) {
+                named.add(new FormerGrantor(
+                        HostId.of(former.path("host").asText()),
+                        former.path("incarnation").asLong(),
+                        renewalMillis(former.path("renewsForMillis"))));
+            }
+        } catch (InvalidNameException unreadable) {
+            // The entry may stand for any host.
+            return FormerGrantors.unnamed(GrantSettings.RENEWAL_GRACE_MILLIS);
         }
         return new FormerGrantors(named, renewalMillis(term.path("unnamedMillis")));
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopAfterRestoreTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopAfterRestoreTest.java
@@ -87,6 +87,11 @@
 
         @Override
         public void commit(List<ExpectedRevision> expected, List<Put> puts, Consumer<Either<StoreError, Long>> result) {
+            if (puts.stream().anyMatch(put -> put.lease() != 0 && put.lease() != lease())) {
+                // The client of the store doesn't send a write under a lease of an earlier epoch.
+                result.accept(Either.left(StoreError.LEASE_ENDED));
+                return;
+            }
             String key = puts.getFirst().key();
             if (key.equals(FleetRecords.GRANTOR_KEY)) {
                 claims.addAll(puts);
@@ -303,4 +308,17 @@
         assertThat(tableWrites).isEmpty();
         assertThat(grants).isEmpty();
     }
+
+    /** Guards against a term that counts as over at once, since its holder claimed it before its copy showed the new epoch. */
+    @Test
+    void a_claim_before_the_copy_is_replaced_names_the_epoch_of_its_lease() {
+        String hostKey = FleetRecords.hostKey(SELF.host());
+        control.recordsChanged(Map.of(hostKey, item(hostKey, FleetRecords.encode(SELF), 7)));
+        epoch = 2;
+        tickFor(20_000);
+
+        assertThat(claims).isNotEmpty();
+        StoredItem record = item(FleetRecords.GRANTOR_KEY, claims.getLast().value(), 20);
+        assertThat(FleetRecords.grantorTerm(record).orElseThrow().restored()).isFalse();
+    }
 }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/FleetRecordsTest.java
@@ -8,6 +8,7 @@
 import org.dragonflymux.core.membership.FormerGrantor;
 import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.membership.GrantorTerm;
+import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
@@ -54,6 +55,20 @@
                 .contains(FormerGrantors.unnamed(GrantSettings.RENEWAL_GRACE_MILLIS));
     }
 
+    /** Guards against a live grantor of an earlier version whose term counts as over in a store with an epoch. */
+    @Test
+    void a_term_without_an_epoch_is_not_taken_for_one_of_an_earlier_epoch() {
+        long revision = StoreEpoch.qualify(1, 12);
+        StoredItem earlierVersion =
+                new StoredItem(FleetRecords.GRANTOR_KEY, FleetRecords.encodeLender(MEMBER, 3), revision);
+        StoredItem epochZero = new StoredItem(
+                FleetRecords.GRANTOR_KEY, FleetRecords.encodeTerm(MEMBER, 3, FormerGrantors.NONE), revision);
+
+        assertThat(FleetRecords.grantorTerm(earlierVersion).orElseThrow().restored())
+                .isFalse();
+        assertThat(FleetRecords.grantorTerm(epochZero).orElseThrow().restored()).isTrue();
+    }
+
     /** Guards against a service whose keys never move, since an odd record promises renewals for years. */
     @ParameterizedTest
     @CsvSource({"-5, 10000", "1e30, 10000", "9000000000000000000, 60000", "\"soon\", 10000", "20000, 20000"})
