Decisions about callers that take too much memory, descriptors or time

Cause: each connection's body and header section had a limit, their sum and the number of connections had none.

--- /dev/null
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerAccount.java
@@ -0,0 +1,259 @@
+package org.dragonflymux.core.caller;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.dragonflymux.core.caller.CallerUsage.Phase;
+import org.dragonflymux.core.desired.RequestLimits;
+
+/**
+ * The memory and connections that callers of a host take, and what is done when they become scarce.
+ *
+ * <p>Above the level for large connections, these are no longer read; if that lasts, those that hold the most for the longest
+ * are closed. What lies between that level and the limit is left to small connections. Above the limit, connections are closed
+ * at once. A connection whose requests are all complete is not closed for their memory, as they may be running.
+ */
+public final class CallerAccount {
+
+    /** A connection that takes at most this much is small. Ordinary requests without a large body are below it. */
+    public static final long SMALL_BYTES = 65_536;
+
+    /** How long large connections are not read before some of them are closed; uploads that end sooner free the memory. */
+    private static final long MAX_PAUSE_MILLIS = 500;
+    /** Counted in addition to the age of what a connection holds, so that the size counts for new ones as well. */
+    private static final long BASE_AGE_MILLIS = 100;
+    /**
+     * After a longer gap between ticks, timeouts are not enforced until the next one, as what callers sent in the meantime
+     * may be unread.
+     */
+    private static final long MAX_TICK_GAP_MILLIS = 2_500;
+
+    private static final long NEVER = -1;
+
+    private final CallerLimits limits;
+    private final Map<Long, Entry> entries = new HashMap<>();
+    private long totalBytes;
+    private long overSince = NEVER;
+    private long lastTickAt = NEVER;
+    private int openRequests;
+    private int paused;
+
+    private static final class Entry {
+        private final long id;
+        private CallerUsage usage;
+        private boolean paused;
+        private boolean closing;
+
+        private Entry(long id, CallerUsage usage) {
+            this.id = id;
+            this.usage = usage;
+        }
+
+        private boolean large() {
+            return usage.totalBytes() > SMALL_BYTES;
+        }
+
+        private double score(long now) {
+            return (double) usage.reclaimableBytes() * (Math.max(0, now - usage.heldSince()) + BASE_AGE_MILLIS);
+        }
+    }
+
+    private CallerAccount(CallerLimits limits) {
+        this.limits = limits;
+    }
+
+    /** Creates an account without connections. */
+    public static CallerAccount of(CallerLimits limits) {
+        return new CallerAccount(limits);
+    }
+
+    /** Returns the limits. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the memory that all connections take. */
+    public long totalBytes() {
+        return totalBytes;
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return entries.size();
+    }
+
+    /** Returns whether the host may take another request. */
+    public boolean acceptsRequests() {
+        return openRequests < limits.openRequests();
+    }
+
+    /** Handles a new connection. Beyond the limit, the one that has waited the longest for its caller is closed. */
+    public List<CallerAction> opened(long connection, long now) {
+        entries.put(connection, new Entry(connection, CallerUsage.accepted(now)));
+        totalBytes += CallerLimits.CONNECTION_BYTES;
+        List<CallerAction> actions = new ArrayList<>();
+        if (entries.size() > limits.connections()) {
+            Entry victim = entries.values().stream()
+                    .filter(entry -> !entry.closing && entry.id != connection && entry.usage.openRequests() == 0)
+                    .min(Comparator.<Entry>comparingLong(entry -> entry.usage.heldSince())
+                            .thenComparingLong(entry -> entry.id))
+                    .orElse(entries.get(connection));
+            close(victim, CloseReason.CONNECTIONS, actions);
+        }
+        return actions;
+    }
+
+    /** Handles a change of what a connection takes. */
+    public List<CallerAction> used(long connection, CallerUsage usage, RequestLimits requestLimits, long now) {
+        Entry entry = entries.get(connection);
+        if (entry == null || entry.closing) {
+            return List.of();
+        }
+        totalBytes += usage.totalBytes() - entry.usage.totalBytes();
+        openRequests += usage.openRequests() - entry.usage.openRequests();
+        entry.usage = usage;
+        if (totalBytes <= largeLevel(requestLimits) && overSince == NEVER) {
+            return List.of();
+        }
+        List<CallerAction> actions = new ArrayList<>();
+        if (overSince != NEVER && totalBytes > largeLevel(requestLimits) && entry.large()) {
+            pause(entry, actions);
+        }
+        relieve(requestLimits, now, actions);
+        return actions;
+    }
+
+    /** Handles the end of a connection. */
+    public List<CallerAction> closed(long connection, RequestLimits requestLimits, long now) {
+        Entry entry = entries.remove(connection);
+        if (entry == null) {
+            return List.of();
+        }
+        if (!entry.closing) {
+            release(entry);
+        }
+        List<CallerAction> actions = new ArrayList<>();
+        relieve(requestLimits, now, actions);
+        return actions;
+    }
+
+    /** Takes what a connection holds out of the sums. */
+    private void release(Entry entry) {
+        totalBytes -= entry.usage.totalBytes() + CallerLimits.CONNECTION_BYTES;
+        openRequests -= entry.usage.openRequests();
+        if (entry.paused) {
+            entry.paused = false;
+            paused--;
+        }
+    }
+
+    /** Ends connections that exceed a timeout, and large ones if memory has been short for a while. */
+    public List<CallerAction> tick(RequestLimits requestLimits, long now) {
+        boolean onTime = lastTickAt != NEVER && now - lastTickAt <= MAX_TICK_GAP_MILLIS;
+        lastTickAt = now;
+        List<CallerAction> actions = new ArrayList<>();
+        if (onTime) {
+            for (Entry entry : entries.values()) {
+                if (!entry.closing) {
+                    enforceTimeouts(entry, requestLimits, now, actions);
+                }
+            }
+        }
+        relieve(requestLimits, now, actions);
+        return actions;
+    }
+
+    private void enforceTimeouts(Entry entry, RequestLimits requestLimits, long now, List<CallerAction> actions) {
+        CallerUsage usage = entry.usage;
+        if (usage.unreadBytes() > 0 && now - usage.lastWriteAt() > requestLimits.idleTimeoutMillis()) {
+            close(entry, CloseReason.UNREAD_RESPONSES, actions);
+        } else if (usage.reading()
+                && usage.phase() == Phase.HEADER
+                && now - usage.phaseSince() > requestLimits.headerTimeoutMillis()) {
+            close(entry, CloseReason.HEADER_TIMEOUT, actions);
+        } else if (usage.reading()
+                && usage.phase() == Phase.BODY
+                && now - Math.max(usage.lastReadAt(), usage.phaseSince()) > requestLimits.idleTimeoutMillis()) {
+            close(entry, CloseReason.BODY_TIMEOUT, actions);
+        }
+    }
+
+    /**
+     * Returns the level above which large connections are not read. It leaves a quarter of the limit to small ones, or less if
+     * one request of the maximum size needs it.
+     */
+    long largeLevel(RequestLimits requestLimits) {
+        long oneRequest = requestLimits.maxBodyBytes() + 2 * SMALL_BYTES;
+        long most = limits.memoryBytes() / 16 * 15;
+        return Math.min(most, Math.max(limits.memoryBytes() / 4 * 3, oneRequest));
+    }
+
+    private void relieve(RequestLimits requestLimits, long now, List<CallerAction> actions) {
+        long level = largeLevel(requestLimits);
+        closeUntil(limits.memoryBytes(), _ -> true, now, actions);
+        if (totalBytes > level && overSince == NEVER) {
+            overSince = now;
+            entries.values().stream().filter(Entry::large).forEach(entry -> pause(entry, actions));
+        }
+        long resumesAt = resumeLevel(level);
+        if (overSince != NEVER && now - overSince >= MAX_PAUSE_MILLIS) {
+            overSince = now;
+            closeUntil(resumeLevel(level), Entry::large, now, actions);
+            // What is left above this is held by requests that may be running; it does not keep others from being read.
+            resumesAt = level;
+        }
+        if (totalBytes <= resumesAt) {
+            overSince = NEVER;
+            resumeAll(actions);
+        }
+    }
+
+    /** Returns the level at which large connections are read again; lower than the one at which reading stops. */
+    private static long resumeLevel(long level) {
+        return level / 8 * 7;
+    }
+
+    private void closeUntil(long level, Predicate<Entry> eligible, long now, List<CallerAction> actions) {
+        while (totalBytes > level) {
+            Entry victim = entries.values().stream()
+                    .filter(entry -> !entry.closing && entry.usage.reclaimableBytes() > 0 && eligible.test(entry))
+                    .max(Comparator.<Entry>comparingDouble(entry -> entry.score(now))
+                            .thenComparingLong(entry -> entry.id))
+                    .orElse(null);
+            if (victim == null) {
+                return;
+            }
+            close(victim, CloseReason.MEMORY, actions);
+        }
+    }
+
+    private void close(Entry entry, CloseReason reason, List<CallerAction> actions) {
+        release(entry);
+        entry.closing = true;
+        actions.add(new CallerAction.Close(entry.id, reason));
+    }
+
+    private void pause(Entry entry, List<CallerAction> actions) {
+        if (!entry.paused && !entry.closing) {
+            entry.paused = true;
+            paused++;
+            actions.add(new CallerAction.Pause(entry.id));
+        }
+    }
+
+    private void resumeAll(List<CallerAction> actions) {
+        if (paused == 0) {
+            return;
+        }
+        for (Entry entry : entries.values()) {
+            if (entry.paused) {
+                entry.paused = false;
+                actions.add(new CallerAction.Resume(entry.id));
+            }
+        }
+        paused = 0;
+    }
+}
