Callers' memory, connections and time are bounded on a host

Cause: unfinished bodies, header sections, requests sent ahead, unread responses and connections ended the process, or took all its descriptors; pieces of a body kept the buffers that they were read into. Change: the connection feeds one header section at a time to the decoder, copies bodies into blocks, reports what it takes and carries out what CallerAccount decides: 413, 431, 408 or 503 for requests that were not handed on, a close otherwise.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayOptions.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayOptions.java
@@ -1,6 +1,7 @@
 package org.dragonflymux.gateway;
 
 import java.net.InetSocketAddress;
+import org.dragonflymux.core.caller.CallerLimits;
 import org.dragonflymux.core.gateway.GatewaySettings;
 import org.dragonflymux.core.membership.FleetMember;
 import org.dragonflymux.core.shard.GrantSettings;
@@ -16,6 +17,7 @@
  * @param peers the address for reports and rate messages from other hosts
  * @param stopTimeoutMillis the maximum duration of a shutdown
  * @param firstStart whether the whole fleet starts for the first time, so that no caller waits yet
+ * @param callerLimits limits on what all callers take together
  * @param monotonicStart the time on the monotonic clock at which the process started, in milliseconds
  */
 public record GatewayOptions(
@@ -27,4 +29,5 @@
         InetSocketAddress peers,
         long stopTimeoutMillis,
         boolean firstStart,
+        CallerLimits callerLimits,
         long monotonicStart) {}
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -98,8 +98,10 @@
         this.gateway = Gateway.of(options.gateway(), random::nextLong, options.monotonicStart());
         this.updateSourceSelector = UpdateSourceSelector.of(options.self());
         this.pool = ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_RESPONSE_BYTES), pollTracker);
-        this.requests = new RequestPath(gateway, pool, names, clock);
-        this.callers = CallerServer.on(loop, requests, this::limits, this::requestTime, pollTracker);
+        this.requests = new RequestPath(
+                gateway, pool, names, clock, options.callerLimits().targetBodyBytes(), this::limits);
+        this.callers =
+                CallerServer.on(loop, requests, this::limits, this::requestTime, pollTracker, options.callerLimits());
         this.control = ControlLoop.of(
                 store,
                 grants.apply(pool, names),
@@ -176,6 +178,7 @@
         ActivityLog activityLog = ActivityLog.of(gateway, requests, store);
         every(RATE_LOG_INTERVAL_MILLIS, activityLog::logLending);
         every(COUNTS_LOG_INTERVAL_MILLIS, activityLog::logCounts);
+        every(COUNTS_LOG_INTERVAL_MILLIS, callers::logCounts);
         every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
         if (options.firstStart()) {
             warmUp();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -18,7 +20,10 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
+import org.dragonflymux.core.caller.TargetBodies;
+import org.dragonflymux.core.desired.RequestLimits;
 import org.dragonflymux.core.gateway.ArrivedRequest;
 import org.dragonflymux.core.gateway.AttemptResult;
 import org.dragonflymux.core.gateway.Gateway;
@@ -51,6 +56,12 @@
     private final RateLimitedLog log = new RateLimitedLog(LogManager.getLogger(RequestPath.class));
     private final Map<Long, OpenRequest> openRequests = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
+    private final TargetBodies targetBodies;
+    private final Supplier<RequestLimits> limits;
+    /** Attempts that were not sent, for which the gateway is told so after the effects at hand were carried out. */
+    private final Deque<Long> unsentAttempts = new ArrayDeque<>();
+
+    private boolean running;
     private final Map<RefusalReason, Integer> refusals = new EnumMap<>(RefusalReason.class);
     private long lastExchange;
     private long lastTickAt;
@@ -63,12 +74,26 @@
 
     private record OpenRequest(FullHttpRequest request, CallerReply reply, String requestId, long receivedAt) {}
 
-    RequestPath(Gateway gateway, ConnectionPool pool, HeaderNames names, HostClock clock) {
+    /**
+     * Creates a request path.
+     *
+     * @param targetBodyBytes limit on the bodies that one target has not answered
+     * @param limits supplies the limits on single requests
+     */
+    RequestPath(
+            Gateway gateway,
+            ConnectionPool pool,
+            HeaderNames names,
+            HostClock clock,
+            long targetBodyBytes,
+            Supplier<RequestLimits> limits) {
         this.gateway = gateway;
         this.pool = pool;
         this.messages = TargetMessages.with(names);
         this.names = names;
         this.clock = clock;
+        this.targetBodies = TargetBodies.upTo(targetBodyBytes);
+        this.limits = limits;
     }
 
     /** Sets the sender of rate messages to other hosts. */
@@ -148,11 +173,29 @@
 
     /** Carries out effects requested by the gateway. */
     void run(List<GatewayEffect> effects) {
+        if (running) {
+            carryOut(effects);
+            return;
+        }
+        running = true;
+        try {
+            carryOut(effects);
+            while (!unsentAttempts.isEmpty()) {
+                carryOut(gateway.attemptEnded(
+                        unsentAttempts.removeFirst(), new AttemptResult.NotRun(false), clock.monotonicMillis()));
+            }
+        } finally {
+            running = false;
+        }
+    }
+
+    private void carryOut(List<GatewayEffect> effects) {
         for (GatewayEffect effect : effects) {
             switch (effect) {
                 case GatewayEffect.Send send -> send(send);
                 case GatewayEffect.Cancel cancel -> {
                     Call call = calls.remove(cancel.attempt());
+                    targetBodies.ended(cancel.attempt());
                     if (call != null) {
                         call.cancel();
                     }
@@ -166,6 +209,17 @@
 
     private void send(GatewayEffect.Send send) {
         OpenRequest open = openRequests.get(send.exchange());
+        long bodyBytes = open.request().content().readableBytes();
+        if (!targetBodies.started(
+                send.attempt(), endpoint(send).name(), bodyBytes, limits.get().maxBodyBytes())) {
+            log.info(
+                    "event=target_bodies_full id={} target={} bytes={}",
+                    open.requestId(),
+                    send.target().id(),
+                    bodyBytes);
+            unsentAttempts.addLast(send.attempt());
+            return;
+        }
         FullHttpRequest request = messages.request(open.request(), send);
         double maxIdleFraction = send.repeatable() ? MAX_IDLE_FRACTION : MAX_IDLE_FRACTION_NOT_REPEATABLE;
         CallListener listener = new CallListener() {
@@ -177,12 +231,14 @@
             @Override
             public void responseReceived(FullHttpResponse response) {
                 calls.remove(send.attempt());
+                targetBodies.ended(send.attempt());
                 attemptAnswered(send, open, response);
             }
 
             @Override
             public void failed(CallFailure failure) {
                 calls.remove(send.attempt());
+                targetBodies.ended(send.attempt());
                 attemptFailed(send, open, failure);
             }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/WarmUp.java
@@ -122,7 +122,12 @@
         long startedAt = clock.monotonicMillis();
         Channel target = listenAsTarget();
         RequestPath requests = new RequestPath(
-                gateway(), ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_BYTES), pollTracker), names, clock);
+                gateway(),
+                ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_BYTES), pollTracker),
+                names,
+                clock,
+                MAX_BYTES,
+                () -> LIMITS);
         PeerSocket lenderSocket = openAsLender();
         PeerSocket peerSocket =
                 PeerSocket.open(loop, gatewayAddress, _ -> {}, (message, _) -> requests.rateMessageReceived(message));
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -1,44 +1,243 @@
 package org.dragonflymux.gateway.caller;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.dragonflymux.core.caller.CallerAccount;
+import org.dragonflymux.core.caller.CallerUsage;
+import org.dragonflymux.core.caller.CallerUsage.Phase;
+import org.dragonflymux.core.caller.CloseReason;
 
 /** A caller's connection. Requests are handled as they arrive; responses are sent in request order. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
     private static final int MAX_PIPELINED = 64;
+    /** Memory for the objects and the header section of a response. */
+    private static final int RESPONSE_BYTES = 1_500;
+    /** How long a connection stays open after a refusal, for the caller to read it before it learns of the close. */
+    private static final long LINGER_MILLIS = 500;
 
     private final CallerServer server;
+    private final long id;
     private final Deque<CallerReply> replies = new ArrayDeque<>();
     private ChannelHandlerContext context;
+    private RequestIntake intake;
+    private RequestCollector collector;
+    private ChannelHandlerContext intakeContext;
     private long lastUseMillis;
     private int pendingWrites;
     private boolean closing;
+    private boolean paused;
+    private boolean refused;
+    private int openRequests;
+    private long nextBodyCharge;
+    private long queuedBytes;
+    private long unreadBytes;
+    private Phase phase = Phase.IDLE;
+    private long phaseSince;
+    private long lastReadAt;
+    private long lastWriteAt;
 
     CallerConnection(CallerServer server) {
         this.server = server;
+        this.id = server.nextConnection();
+    }
+
+    /** Adds the handlers that decode requests and count what they take. */
+    void addHandlers(ChannelPipeline pipeline, HttpServerCodec codec, int maxBodyBytes) {
+        collector = new RequestCollector(this, maxBodyBytes);
+        intake = new RequestIntake(this, collector);
+        pipeline.addLast(intake).addLast(codec).addLast(collector).addLast(this);
+        intakeContext = pipeline.context(intake);
+    }
+
+    long id() {
+        return id;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
         recordUse();
+        phaseSince = lastUseMillis;
+        lastReadAt = lastUseMillis;
+        lastWriteAt = lastUseMillis;
         server.opened(this);
     }
 
+    boolean closing() {
+        return closing || refused;
+    }
+
+    /** Returns whether the connection takes more bytes of requests now. */
+    boolean takesBytes() {
+        return !closing() && takesRequests();
+    }
+
+    private boolean takesRequests() {
+        return !paused && replies.size() < MAX_PIPELINED && context.channel().isWritable();
+    }
+
+    void bytesRead() {
+        lastReadAt = server.now();
+    }
+
+    /** Sets the memory for the body of the request that is read next. */
+    void charge(long bodyBytes) {
+        nextBodyCharge = bodyBytes;
+    }
+
+    /** Tells the server what the connection takes now. */
+    void usageChanged() {
+        if (closing) {
+            return;
+        }
+        long head = intake == null ? 0 : intake.headCharge();
+        Phase current = collector != null && collector.inBody() ? Phase.BODY : head > 0 ? Phase.HEADER : Phase.IDLE;
+        if (current != phase) {
+            phase = current;
+            phaseSince = server.now();
+        }
+        if (!refused) {
+            updateReading();
+        }
+        long unfinished = intake == null ? 0 : head + intake.heldBytes() + collector.bodyCharge();
+        server.used(
+                this,
+                new CallerUsage(
+                        phase,
+                        phaseSince,
+                        lastReadAt,
+                        lastWriteAt,
+                        unfinished,
+                        queuedBytes,
+                        unreadBytes,
+                        openRequests,
+                        context.channel().config().isAutoRead()));
+    }
+
+    private void updateReading() {
+        boolean reads = takesRequests();
+        if (reads != context.channel().config().isAutoRead()) {
+            if (reads) {
+                // What the caller sent in the meantime was not read, so that it must not count as late.
+                phaseSince = server.now();
+                lastReadAt = phaseSince;
+            }
+            context.channel().config().setAutoRead(reads);
+        }
+    }
+
+    /** Stops reading, or reads again. */
+    void pause(boolean stop) {
+        paused = stop;
+        if (!closing()) {
+            resumeReading();
+        }
+    }
+
+    private void resumeReading() {
+        updateReading();
+        if (intake != null && intake.heldBytes() > 0 && takesRequests()) {
+            context.channel().eventLoop().execute(() -> {
+                if (context.channel().isActive()) {
+                    intake.resume(intakeContext);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (!closing()) {
+            resumeReading();
+        }
+    }
+
+    /** Refuses the unfinished request after the responses to earlier ones, and closes the connection. */
+    void refuse(HttpResponseStatus status) {
+        if (closing()) {
+            return;
+        }
+        dropUnfinished();
+        CallerReply reply = new CallerReply(this, emptyRequest(), false, server.now(), 0);
+        replies.addLast(reply);
+        openRequests++;
+        refused = true;
+        server.logRefused(status.code());
+        FullHttpResponse response = refusal(status);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, 1);
+        }
+        reply.respond(response);
+    }
+
+    private static FullHttpRequest emptyRequest() {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
+    }
+
+    private void dropUnfinished() {
+        if (collector != null) {
+            collector.drop();
+            intake.releaseHeld();
+        }
+    }
+
+    /** Closes the connection because of what it takes. An unfinished request has not run and is told so if possible. */
+    void closeFor(CloseReason reason) {
+        boolean answers = phase != Phase.IDLE && !closing();
+        switch (reason) {
+            case HEADER_TIMEOUT, BODY_TIMEOUT -> {
+                if (answers) {
+                    refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+                } else {
+                    close();
+                }
+            }
+            case MEMORY -> {
+                // The memory of other requests and of responses becomes free only if the connection is closed.
+                if (answers && queuedBytes + unreadBytes <= CallerAccount.SMALL_BYTES) {
+                    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                } else {
+                    close();
+                }
+            }
+            case CONNECTIONS, UNREAD_RESPONSES -> close();
+        }
+    }
+
+    void responded(CallerReply reply, FullHttpResponse response) {
+        openRequests--;
+        queuedBytes -= reply.requestCharge();
+        if (unreadBytes == 0) {
+            lastWriteAt = server.now();
+        }
+        unreadBytes += responseCharge(response);
+    }
+
+    private static long responseCharge(FullHttpResponse response) {
+        return response.content().readableBytes() + RESPONSE_BYTES;
+    }
+
     private void recordUse() {
         lastUseMillis = server.now();
     }
@@ -50,20 +249,31 @@
         }
         recordUse();
         // While the server drains, the last pending response closes the connection, so requests behind it are dropped.
-        if (closing || server.draining() && !replies.isEmpty()) {
+        if (closing() || server.draining() && !replies.isEmpty()) {
             request.release();
             return;
         }
         boolean keepAlive = HttpUtil.isKeepAlive(request);
-        CallerReply reply = new CallerReply(this, request, keepAlive, server.now());
+        long charge = nextBodyCharge + (intake == null ? 0 : intake.headCharge());
+        nextBodyCharge = 0;
+        CallerReply reply = new CallerReply(this, request, keepAlive, server.now(), charge);
         replies.addLast(reply);
+        openRequests++;
+        queuedBytes += charge;
         if (request.decoderResult().isFailure()) {
             server.logMalformed(request.decoderResult().cause());
-            reply.respond(badRequest());
+            refused = true;
+            reply.respond(refusal(statusOf(request.decoderResult().cause())));
             return;
         }
-        if (replies.size() >= MAX_PIPELINED) {
-            ctx.channel().config().setAutoRead(false);
+        updateReading();
+        if (!server.acceptsRequests()) {
+            FullHttpResponse response = refusal(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, 1);
+            server.logRefused(response.status().code());
+            refused = true;
+            reply.respond(response);
+            return;
         }
         // The event loop may report the end of a connection only after the data that precedes it was read. It therefore
         // polls once more before the request is handled.
@@ -77,9 +287,14 @@
         return context.channel().isActive();
     }
 
-    private static FullHttpResponse badRequest() {
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER);
+    private static HttpResponseStatus statusOf(Throwable malformed) {
+        return malformed instanceof TooLongHttpHeaderException
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
+    private static FullHttpResponse refusal(HttpResponseStatus status) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         return response;
@@ -95,10 +310,11 @@
         if (wrote) {
             recordUse();
             context.flush();
-            if (replies.size() < MAX_PIPELINED && !closing) {
-                context.channel().config().setAutoRead(true);
-            }
         }
+        if (!closing()) {
+            resumeReading();
+        }
+        usageChanged();
     }
 
     private void write(CallerReply reply) {
@@ -108,16 +324,46 @@
                 || server.draining() && replies.isEmpty()
                 || response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
         pendingWrites++;
+        long charge = responseCharge(response);
         if (!close) {
-            context.write(response).addListener(_ -> pendingWrites--);
+            context.write(response).addListener(_ -> written(charge));
             return;
         }
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         closing = true;
-        context.write(response).addListener(_ -> pendingWrites--).addListener(ChannelFutureListener.CLOSE);
+        var writing = context.write(response).addListener(_ -> written(charge));
+        if (refused && intake != null) {
+            linger(writing);
+        } else {
+            writing.addListener(ChannelFutureListener.CLOSE);
+        }
+        dropUnfinished();
         discardReplies();
     }
 
+    private void written(long charge) {
+        pendingWrites--;
+        unreadBytes -= charge;
+        lastWriteAt = server.now();
+        usageChanged();
+    }
+
+    /**
+     * Closes the connection a moment after its last response. A close with unread data resets the connection, and the caller
+     * may then lose the response; until the close, what arrives is read and dropped.
+     */
+    private void linger(ChannelFuture writing) {
+        server.lingers(this);
+        context.channel().config().setAutoRead(true);
+        ChannelHandlerContext ctx = context;
+        writing.addListener(done -> {
+            if (!done.isSuccess()) {
+                ctx.close();
+            }
+        });
+        ctx.channel().eventLoop().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void discardReplies() {
         while (!replies.isEmpty()) {
             replies.pollFirst().discard();
@@ -128,16 +374,23 @@
         return replies.isEmpty() && pendingWrites == 0 && lastUseMillis < threshold;
     }
 
+    /** Returns whether the connection has had no request, not even an unfinished one, since the given time. */
+    boolean unusedSince(long threshold) {
+        return phase == Phase.IDLE && lastReadAt < threshold && idleSince(threshold);
+    }
+
     void close() {
         closing = true;
+        dropUnfinished();
         context.close();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
-        server.closed(this);
+        dropUnfinished();
         discardReplies();
+        server.closed(this);
     }
 
     @Override
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerReply.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerReply.java
@@ -10,15 +10,23 @@
     private final FullHttpRequest request;
     private final boolean keepAlive;
     private final long readAt;
+    private final long requestCharge;
     private FullHttpResponse pendingResponse;
     private Runnable disconnectAction = () -> {};
     private boolean ended;
 
-    CallerReply(CallerConnection connection, FullHttpRequest request, boolean keepAlive, long readAt) {
+    CallerReply(
+            CallerConnection connection, FullHttpRequest request, boolean keepAlive, long readAt, long requestCharge) {
         this.connection = connection;
         this.request = request;
         this.keepAlive = keepAlive;
         this.readAt = readAt;
+        this.requestCharge = requestCharge;
+    }
+
+    /** Returns the memory that the request takes until it has a response. */
+    long requestCharge() {
+        return requestCharge;
     }
 
     /** Sets the action to run if the caller disconnects before the response is given. */
@@ -35,6 +43,7 @@
         ended = true;
         request.release();
         pendingResponse = response;
+        connection.responded(this, response);
         connection.flushResponses();
     }
 
--- /dev/null
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestIntake.java
@@ -0,0 +1,123 @@
+package org.dragonflymux.gateway.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ByteProcessor;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Passes on bytes to the decoder as far as the connection takes requests, and holds back the rest. At most one header section
+ * is passed on at a time, so that a single read with hundreds of requests does not make objects of all of them.
+ */
+final class RequestIntake extends ChannelInboundHandlerAdapter {
+
+    /** Memory for one header field, of which the decoder makes an entry and two strings. */
+    private static final int FIELD_BYTES = 400;
+    /** Memory for the objects of one request besides its fields. */
+    private static final int REQUEST_BYTES = 1_500;
+    /** Limit on the bytes of a body in chunks that are passed on at a time, as these may contain its end. */
+    private static final int MAX_CHUNKED_BYTES = 1_024;
+
+    private final CallerConnection connection;
+    private final RequestCollector collector;
+    private ByteBuf held;
+    private boolean passing;
+    private int headBytes;
+    private int lines;
+    private int lineLength;
+
+    RequestIntake(CallerConnection connection, RequestCollector collector) {
+        this.connection = connection;
+        this.collector = collector;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (!(message instanceof ByteBuf bytes) || connection.closing()) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        connection.bytesRead();
+        held = held == null ? bytes : ctx.alloc().compositeBuffer(2).addComponents(true, held, bytes);
+        pass(ctx);
+    }
+
+    private void pass(ChannelHandlerContext ctx) {
+        if (passing) {
+            return;
+        }
+        passing = true;
+        while (held != null && held.isReadable() && connection.takesBytes()) {
+            ctx.fireChannelRead(held.readRetainedSlice(nextLength()));
+            if (!collector.inBody() && collector.headTaken()) {
+                headBytes = 0;
+                lines = 0;
+            }
+        }
+        passing = false;
+        if (held != null && (!held.isReadable() || connection.closing())) {
+            releaseHeld();
+        }
+        connection.usageChanged();
+    }
+
+    private int nextLength() {
+        if (collector.inBody()) {
+            return (int) Math.min(held.readableBytes(), collector.remaining().orElse(MAX_CHUNKED_BYTES));
+        }
+        // Up to the end of the header section or of what was received.
+        int end = held.forEachByte(headEnd);
+        return end < 0 ? held.readableBytes() : end - held.readerIndex() + 1;
+    }
+
+    /** Stops at the line feed that ends a header section. */
+    private final ByteProcessor headEnd = new ByteProcessor() {
+        @Override
+        public boolean process(byte value) {
+            headBytes++;
+            if (value == '\n') {
+                boolean ends = lineLength == 0 && lines > 0;
+                lines += lineLength > 0 ? 1 : 0;
+                lineLength = 0;
+                return !ends;
+            }
+            if (value != '\r') {
+                lineLength++;
+            }
+            return true;
+        }
+    };
+
+    /** Returns the memory for the header section that was received so far, 0 if none was begun. */
+    long headCharge() {
+        return lines == 0 && lineLength == 0 ? 0 : headBytes + (long) FIELD_BYTES * lines + REQUEST_BYTES;
+    }
+
+    long heldBytes() {
+        return held == null ? 0 : held.capacity();
+    }
+
+    /** Goes on with what was held back. */
+    void resume(ChannelHandlerContext ctx) {
+        pass(ctx);
+    }
+
+    void releaseHeld() {
+        if (held != null && !passing) {
+            held.release();
+            held = null;
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        releaseHeld();
+        ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext ctx) {
+        releaseHeld();
+    }
+}
