Trailers are counted, and a response that is read slowly is not cut off

Cause: fields of a trailer were in no account, and a caller was taken to read nothing until a whole response was written. Change: lines after the last chunk count as fields; the connections' progress in writing is looked at once a second. Result: RequestIntakeTest, 12 tests, passes; the slow reading of a large response has no test of its own.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -52,6 +53,7 @@
     private long nextBodyCharge;
     private long queuedBytes;
     private long unreadBytes;
+    private long lastPendingBytes;
     private Phase phase = Phase.IDLE;
     private long phaseSince;
     private long lastReadAt;
@@ -147,6 +149,20 @@
         }
     }
 
+    /** Notes whether the caller has taken a part of a response since the last call. */
+    void observeWrites() {
+        ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
+        if (unreadBytes == 0 || buffer == null) {
+            return;
+        }
+        long pending = buffer.totalPendingWriteBytes() - buffer.currentProgress();
+        if (pending != lastPendingBytes) {
+            lastPendingBytes = pending;
+            lastWriteAt = server.now();
+            usageChanged();
+        }
+    }
+
     /** Stops reading, or reads again. */
     void pause(boolean stop) {
         paused = stop;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -147,6 +147,7 @@
     void checkConnections() {
         long threshold = now() - limits.get().idleTimeoutMillis();
         for (CallerConnection connection : List.copyOf(connections.values())) {
+            connection.observeWrites();
             if (connection.unusedSince(threshold)) {
                 connection.close();
             }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestCollector.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestCollector.java
@@ -42,6 +42,7 @@
     private long allocatedBytes;
     private OptionalLong length = OptionalLong.empty();
     private boolean headTaken;
+    private long contents;
 
     RequestCollector(CallerConnection connection, int maxBodyBytes) {
         this.connection = connection;
@@ -52,6 +53,15 @@
         return head != null;
     }
 
+    boolean inChunkedBody() {
+        return head != null && length.isEmpty();
+    }
+
+    /** Returns how many parts of bodies were received so far. */
+    long contents() {
+        return contents;
+    }
+
     /** Returns whether a header section was completed since the last call. */
     boolean headTaken() {
         boolean taken = headTaken;
@@ -79,6 +89,7 @@
                 begin(ctx, request);
             }
             if (message instanceof HttpContent content && head != null) {
+                contents++;
                 add(ctx, content);
             }
         } finally {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestIntake.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestIntake.java
@@ -49,7 +49,14 @@
         }
         passing = true;
         while (held != null && held.isReadable() && connection.takesBytes()) {
-            ctx.fireChannelRead(held.readRetainedSlice(nextLength()));
+            ByteBuf next = held.readRetainedSlice(nextLength());
+            int trailerLines = collector.inChunkedBody() ? lines(next) : 0;
+            long contents = collector.contents();
+            ctx.fireChannelRead(next);
+            if (collector.contents() == contents) {
+                // Without content these are lines of a trailer, of which the decoder makes fields.
+                lines += trailerLines;
+            }
             if (!collector.inBody() && collector.headTaken()) {
                 headBytes = 0;
                 lines = 0;
@@ -62,6 +69,16 @@
         connection.usageChanged();
     }
 
+    private static int lines(ByteBuf bytes) {
+        int count = 0;
+        for (int i = bytes.readerIndex(); i < bytes.writerIndex(); i++) {
+            if (bytes.getByte(i) == '\n') {
+                count++;
+            }
+        }
+        return count;
+    }
+
     private int nextLength() {
         if (collector.inBody()) {
             return (int) Math.min(held.readableBytes(), collector.remaining().orElse(MAX_CHUNKED_BYTES));
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/RequestIntakeTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/RequestIntakeTest.java
@@ -159,6 +159,16 @@
             assertThat(server.accountedBytes() - before).isGreaterThan(500 * 200);
         }
 
+        /** Guards against trailers that take memory which no account shows. */
+        @Test
+        void after_the_body_count_as_well() {
+            send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n");
+            long before = server.accountedBytes();
+            send("a:1\r\n".repeat(1_000));
+
+            assertThat(server.accountedBytes() - before).isGreaterThan(1_000 * 200);
+        }
+
         @Test
         void that_take_too_long_get_a_408() {
             send("GET /1 HTTP/1.1\r\nHos");
