Earlier requests of a refused caller stay in the account until they are answered

Cause: a connection whose unfinished request was refused left the account at once, while its earlier requests still took memory. Change: only the memory that the refusal frees leaves the account; the rest does when it is answered or the connection ends.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerAccount.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerAccount.java
@@ -109,7 +109,7 @@
     /** Handles a change of what a connection takes. */
     public List<CallerAction> used(long connection, CallerUsage usage, RequestLimits requestLimits, long now) {
         Entry entry = entries.get(connection);
-        if (entry == null || entry.closing) {
+        if (entry == null) {
             return List.of();
         }
         totalBytes += usage.totalBytes() - entry.usage.totalBytes();
@@ -132,22 +132,14 @@
         if (entry == null) {
             return List.of();
         }
-        if (!entry.closing) {
-            release(entry);
-        }
-        List<CallerAction> actions = new ArrayList<>();
-        relieve(requestLimits, now, actions);
-        return actions;
-    }
-
-    /** Takes what a connection holds out of the sums. */
-    private void release(Entry entry) {
         totalBytes -= entry.usage.totalBytes() + CallerLimits.CONNECTION_BYTES;
         openRequests -= entry.usage.openRequests();
         if (entry.paused) {
-            entry.paused = false;
             paused--;
         }
+        List<CallerAction> actions = new ArrayList<>();
+        relieve(requestLimits, now, actions);
+        return actions;
     }
 
     /** Ends connections that exceed a timeout, and large ones if memory has been short for a while. */
@@ -231,8 +223,14 @@
     }
 
     private void close(Entry entry, CloseReason reason, List<CallerAction> actions) {
-        release(entry);
+        // Earlier requests count until they are answered or the connection has ended.
+        totalBytes -= entry.usage.reclaimableBytes();
+        entry.usage = entry.usage.withoutReclaimable();
         entry.closing = true;
+        if (entry.paused) {
+            entry.paused = false;
+            paused--;
+        }
         actions.add(new CallerAction.Close(entry.id, reason));
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerUsage.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerUsage.java
@@ -49,6 +49,11 @@
         return unfinishedBytes + unreadBytes;
     }
 
+    /** Returns what is left after the reclaimable memory was freed. */
+    CallerUsage withoutReclaimable() {
+        return new CallerUsage(phase, phaseSince, lastReadAt, lastWriteAt, 0, queuedBytes, 0, openRequests, reading);
+    }
+
     /** Returns since when the caller has kept others from using what it takes. */
     public long heldSince() {
         return phase == Phase.IDLE ? Math.min(lastReadAt, lastWriteAt) : phaseSince;
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/caller/CallerAccountTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/caller/CallerAccountTest.java
@@ -118,6 +118,16 @@
             assertThat(openWith(3, body(MIB / 2, now))).isEmpty();
         }
 
+        /** Guards against memory of refused callers that counts nowhere while their earlier requests run. */
+        @Test
+        void earlier_requests_of_a_closing_connection_count_until_it_ends() {
+            openWith(1, new CallerUsage(Phase.BODY, now, now, now, 15 * MIB, 2 * MIB, 0, 1, true));
+            assertThat(account.totalBytes()).isBetween(2 * MIB, 3 * MIB);
+            account.closed(1, REQUESTS, now);
+
+            assertThat(account.totalBytes()).isZero();
+        }
+
         @Test
         void the_sums_return_to_zero() {
             openWith(1, body(6 * MIB, now));
