A full account of bodies doesn't count against the target

A request that this host withheld because the target holds too many bodies was recorded as refused by the target, so a healthy target rested and the retry budget was spent. It now goes to a target that it was not tried at, or is refused as not run if none may take it.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/AttemptResult.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/AttemptResult.java
@@ -27,6 +27,9 @@
      */
     record NotRun(boolean misdirected) implements AttemptResult {}
 
+    /** The host did not send the request, as the target already holds as many bodies from it as it may. */
+    record Withheld() implements AttemptResult {}
+
     /** The request never reached the target. */
     record NotSent() implements AttemptResult {}
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -565,6 +565,10 @@
                     closeWithRefusal(exchange, RefusalReason.NO_TARGET, withJitter(RETRY_AFTER_UNAVAILABLE_MILLIS));
                 }
             }
+            case AttemptResult.Withheld _ -> {
+                exchange.attempts--;
+                waitForOtherTarget(exchange, now);
+            }
             case AttemptResult.Lost _ -> {
                 target.failed(false, now);
                 exchange.mayHaveRun = true;
@@ -614,6 +618,25 @@
         close(exchange);
     }
 
+    /** Leaves a request to targets that it was not tried at, or refuses it if none of them may get it. */
+    private void waitForOtherTarget(Exchange exchange, long now) {
+        if (exchange.done || !exchange.running.isEmpty()) {
+            return;
+        }
+        boolean hasOther = !exchange.service.sharded()
+                && directory.forService(exchange.service.name()).stream()
+                        .anyMatch(other ->
+                                !exchange.tried.contains(other.entry().id()) && targetSelector.usable(other, now));
+        if (hasOther) {
+            waiting.add(exchange);
+        } else {
+            closeWithRefusal(
+                    exchange,
+                    exchange.mayHaveRun ? RefusalReason.LOST_ANSWER : RefusalReason.OVERLOADED,
+                    retryAfterMillis(exchange, waiting.expectedWaitMillis(exchange, now)));
+        }
+    }
+
     private void retryOrRefuse(Exchange exchange, RefusalReason reason, long now) {
         if (exchange.done || !exchange.running.isEmpty()) {
             return;
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/GatewayTest.java
@@ -393,6 +393,28 @@
                     .isEqualTo(RefusalReason.TURNED_AWAY);
         }
 
+        /** Guards against holding a healthy target's limit on bodies against it: it rested after a few such requests. */
+        @Test
+        void sends_a_withheld_request_to_another_target_and_the_next_one_to_the_same() {
+            for (int i = 0; i < 20; i++) {
+                GatewayEffect.Send first = sent(arrive("/order/x"));
+                GatewayEffect.Send second =
+                        sent(gateway.attemptEnded(first.attempt(), new AttemptResult.Withheld(), now));
+                assertThat(second.target().id()).isNotEqualTo(first.target().id());
+                gateway.attemptEnded(second.attempt(), success(), now);
+            }
+        }
+
+        @Test
+        void refuses_a_request_that_is_withheld_from_every_target_as_not_run() {
+            List<GatewayEffect> effects = arrive("/order/x");
+            while (effects.getFirst() instanceof GatewayEffect.Send send) {
+                effects = gateway.attemptEnded(send.attempt(), new AttemptResult.Withheld(), now);
+            }
+
+            assertThat(reason(effects)).isEqualTo(RefusalReason.OVERLOADED);
+        }
+
         @Test
         void cancels_the_attempt_when_the_caller_disconnects() {
             GatewayEffect.Send send = sent(arrive("/read/x"));
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -182,7 +182,7 @@
             carryOut(effects);
             while (!unsentAttempts.isEmpty()) {
                 carryOut(gateway.attemptEnded(
-                        unsentAttempts.removeFirst(), new AttemptResult.NotRun(false), clock.monotonicMillis()));
+                        unsentAttempts.removeFirst(), new AttemptResult.Withheld(), clock.monotonicMillis()));
             }
         } finally {
             running = false;
