A shortage never ends running requests, and responses are charged as they move

- A shortage of memory closed connections with running requests for an unfinished request, held bytes or an unread response.
Only the unfinished part is refused now, behind the earlier responses; large connections aren't closed after a pause if that doesn't suffice.
- Responses behind a running request counted as unread by the caller; they are queued until they are written.
- The time to read a refusal started before earlier responses were written.
- A last response was not accounted and never timed out.
- Callers that read their responses were preferred victims.
- A caller that pipelines could use up all open requests; a quarter is left to first requests, and only connections with open requests are refused there.
- The header timeout spanned several pipelined requests.
- Connections with complete requests were paused as well.
- Requests that were held back looked as if they had just been read.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerAccount.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerAccount.java
@@ -14,7 +14,8 @@
  *
  * <p>Above the level for large connections, these are no longer read; if that lasts, those that hold the most for the longest
  * are closed. What lies between that level and the limit is left to small connections. Above the limit, connections are closed
- * at once. A connection whose requests are all complete is not closed for their memory, as they may be running.
+ * at once. A connection with complete requests is not closed for memory, as they may be running; it only gives up its
+ * unfinished request.
  */
 public final class CallerAccount {
 
@@ -31,6 +32,9 @@
      */
     private static final long MAX_TICK_GAP_MILLIS = 2_500;
 
+    /** This part of the open requests is left to connections that have none. */
+    private static final int FIRST_REQUESTS_DIVISOR = 4;
+
     private static final long NEVER = -1;
 
     private final CallerLimits limits;
@@ -52,8 +56,13 @@
             this.usage = usage;
         }
 
-        private boolean large() {
-            return usage.totalBytes() > SMALL_BYTES;
+        /** Returns whether not reading the connection limits what it takes. */
+        private boolean receivesMuch() {
+            return usage.unfinishedBytes() > SMALL_BYTES;
+        }
+
+        private boolean holdsMuch() {
+            return usage.reclaimableBytes() > SMALL_BYTES;
         }
 
         private double score(long now) {
@@ -85,9 +94,18 @@
         return entries.size();
     }
 
-    /** Returns whether the host may take another request. */
-    public boolean acceptsRequests() {
-        return openRequests < limits.openRequests();
+    /**
+     * Returns whether the host may take another request. The last quarter of the limit is left to connections without one, so
+     * that callers that send requests ahead don't exclude others.
+     *
+     * @param connection the connection that it arrived on
+     * @param openOnConnection earlier requests without a response on this connection
+     */
+    public boolean acceptsRequest(long connection, int openOnConnection) {
+        Entry entry = entries.get(connection);
+        int open = openRequests - (entry == null ? 0 : entry.usage.openRequests()) + openOnConnection;
+        int limit = limits.openRequests();
+        return open < (openOnConnection > 0 ? limit - limit / FIRST_REQUESTS_DIVISOR : limit);
     }
 
     /** Handles a new connection. Beyond the limit, the one that has waited the longest for its caller is closed. */
@@ -98,7 +116,8 @@
         if (entries.size() > limits.connections()) {
             Entry victim = entries.values().stream()
                     .filter(entry -> !entry.closing && entry.id != connection && entry.usage.openRequests() == 0)
-                    .min(Comparator.<Entry>comparingLong(entry -> entry.usage.heldSince())
+                    .min(Comparator.<Entry, Boolean>comparing(entry -> entry.usage.unreadBytes() > 0)
+                            .thenComparingLong(entry -> entry.usage.heldSince())
                             .thenComparingLong(entry -> entry.id))
                     .orElse(entries.get(connection));
             close(victim, CloseReason.CONNECTIONS, actions);
@@ -119,7 +138,9 @@
             return List.of();
         }
         List<CallerAction> actions = new ArrayList<>();
-        if (overSince != NEVER && totalBytes > largeLevel(requestLimits) && entry.large()) {
+        if (!entry.receivesMuch()) {
+            resume(entry, actions);
+        } else if (overSince != NEVER && totalBytes > largeLevel(requestLimits)) {
             pause(entry, actions);
         }
         relieve(requestLimits, now, actions);
@@ -149,9 +170,7 @@
         List<CallerAction> actions = new ArrayList<>();
         if (onTime) {
             for (Entry entry : entries.values()) {
-                if (!entry.closing) {
-                    enforceTimeouts(entry, requestLimits, now, actions);
-                }
+                enforceTimeouts(entry, requestLimits, now, actions);
             }
         }
         relieve(requestLimits, now, actions);
@@ -162,6 +181,8 @@
         CallerUsage usage = entry.usage;
         if (usage.unreadBytes() > 0 && now - usage.lastWriteAt() > requestLimits.idleTimeoutMillis()) {
             close(entry, CloseReason.UNREAD_RESPONSES, actions);
+        } else if (entry.closing) {
+            return;
         } else if (usage.reading()
                 && usage.phase() == Phase.HEADER
                 && now - usage.phaseSince() > requestLimits.headerTimeoutMillis()) {
@@ -185,15 +206,18 @@
 
     private void relieve(RequestLimits requestLimits, long now, List<CallerAction> actions) {
         long level = largeLevel(requestLimits);
+        // At the limit, unfinished requests give way even if that does not suffice, as memory would run out.
         closeUntil(limits.memoryBytes(), _ -> true, now, actions);
         if (totalBytes > level && overSince == NEVER) {
             overSince = now;
-            entries.values().stream().filter(Entry::large).forEach(entry -> pause(entry, actions));
+            entries.values().stream().filter(Entry::receivesMuch).forEach(entry -> pause(entry, actions));
         }
         long resumesAt = resumeLevel(level);
         if (overSince != NEVER && now - overSince >= MAX_PAUSE_MILLIS) {
             overSince = now;
-            closeUntil(resumeLevel(level), Entry::large, now, actions);
+            if (totalBytes - reclaimable(Entry::holdsMuch) <= level) {
+                closeUntil(resumeLevel(level), Entry::holdsMuch, now, actions);
+            }
             // What is left above this is held by requests that may be running; it does not keep others from being read.
             resumesAt = level;
         }
@@ -208,6 +232,13 @@
         return level / 8 * 7;
     }
 
+    private long reclaimable(Predicate<Entry> eligible) {
+        return entries.values().stream()
+                .filter(entry -> !entry.closing && eligible.test(entry))
+                .mapToLong(entry -> entry.usage.reclaimableBytes())
+                .sum();
+    }
+
     private void closeUntil(long level, Predicate<Entry> eligible, long now, List<CallerAction> actions) {
         while (totalBytes > level) {
             Entry victim = entries.values().stream()
@@ -226,7 +257,8 @@
         // Earlier requests count until they are answered or the connection has ended.
         totalBytes -= entry.usage.reclaimableBytes();
         entry.usage = entry.usage.withoutReclaimable();
-        entry.closing = true;
+        // A connection that only gave up its unfinished request may be closed later for responses that are not read.
+        entry.closing = reason != CloseReason.MEMORY || entry.usage.openRequests() == 0;
         if (entry.paused) {
             entry.paused = false;
             paused--;
@@ -242,6 +274,14 @@
         }
     }
 
+    private void resume(Entry entry, List<CallerAction> actions) {
+        if (entry.paused) {
+            entry.paused = false;
+            paused--;
+            actions.add(new CallerAction.Resume(entry.id));
+        }
+    }
+
     private void resumeAll(List<CallerAction> actions) {
         if (paused == 0) {
             return;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerAction.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerAction.java
@@ -12,6 +12,9 @@
     /** Read from the connection again. */
     record Resume(long connection) implements CallerAction {}
 
-    /** Drop the unfinished request, refuse it if it was begun, and close the connection. */
+    /**
+     * Drop the unfinished request, refuse it if it was begun, and close the connection. For lack of memory, the connection is
+     * closed only after requests that are running have been answered.
+     */
     record Close(long connection, CloseReason reason) implements CallerAction {}
 }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerUsage.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/caller/CallerUsage.java
@@ -8,8 +8,8 @@
  * @param lastReadAt when bytes last arrived
  * @param lastWriteAt when the caller last took bytes of a response, or was first offered them
  * @param unfinishedBytes memory for the request that is being received, and for bytes that are not decoded yet
- * @param queuedBytes memory for complete requests without a response
- * @param unreadBytes memory for responses that the caller has not taken yet
+ * @param queuedBytes memory for complete requests without a response, and for responses that wait behind these
+ * @param unreadBytes memory for responses that were written and that the caller has not taken yet
  * @param openRequests complete requests without a response
  * @param reading whether bytes that arrive are read
  */
@@ -44,18 +44,26 @@
         return unfinishedBytes + queuedBytes + unreadBytes;
     }
 
-    /** Returns the memory that becomes free if the connection is closed, without ending a request that may be running. */
+    /**
+     * Returns the memory that becomes free without ending a request that may be running. Unread responses can only be dropped
+     * by closing the connection, so they don't count while a request is open.
+     */
     public long reclaimableBytes() {
-        return unfinishedBytes + unreadBytes;
+        return openRequests > 0 ? unfinishedBytes : unfinishedBytes + unreadBytes;
     }
 
     /** Returns what is left after the reclaimable memory was freed. */
     CallerUsage withoutReclaimable() {
-        return new CallerUsage(phase, phaseSince, lastReadAt, lastWriteAt, 0, queuedBytes, 0, openRequests, reading);
+        long unread = openRequests > 0 ? unreadBytes : 0;
+        return new CallerUsage(
+                phase, phaseSince, lastReadAt, lastWriteAt, 0, queuedBytes, unread, openRequests, reading);
     }
 
-    /** Returns since when the caller has kept others from using what it takes. */
+    /** Returns since when the caller has kept others from using what it takes. A caller that reads its responses is not idle. */
     public long heldSince() {
+        if (unreadBytes > 0) {
+            return lastWriteAt;
+        }
         return phase == Phase.IDLE ? Math.min(lastReadAt, lastWriteAt) : phaseSince;
     }
 }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/caller/CallerAccountTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/caller/CallerAccountTest.java
@@ -128,6 +128,45 @@
             assertThat(account.totalBytes()).isZero();
         }
 
+        /** Guards against cancelling running requests for a byte of the next head or for an unread response. */
+        @Test
+        void a_connection_with_running_requests_gives_up_only_its_unfinished_request() {
+            openWith(1, new CallerUsage(Phase.IDLE, now, now, now - 9_000, 0, 2 * MIB, 10 * MIB, 1, true));
+            openWith(2, body(3 * MIB, now));
+
+            assertThat(use(2, body(5 * MIB, now))).containsExactly(new CallerAction.Close(2, CloseReason.MEMORY));
+        }
+
+        /** Guards against closing connections without reaching the level, as running requests hold the rest. */
+        @Test
+        void nothing_is_closed_after_a_pause_if_that_does_not_suffice() {
+            openWith(1, queued(12 * MIB, now));
+            openWith(2, body(MIB, now));
+            now += 600;
+
+            assertThat(account.tick(REQUESTS, now)).noneMatch(CallerAction.Close.class::isInstance);
+        }
+
+        /** Guards against not noticing that a caller has disconnected, as its connection is not read. */
+        @Test
+        void connections_with_complete_requests_are_not_paused() {
+            openWith(1, queued(6 * MIB, now));
+
+            assertThat(openWith(2, body(7 * MIB, now))).containsExactly(new CallerAction.Pause(2));
+            assertThat(use(2, queued(7 * MIB, now))).containsExactly(new CallerAction.Resume(2));
+        }
+
+        /** Guards against ending a caller that reads its response before one that does not. */
+        @Test
+        void callers_that_read_their_responses_are_closed_after_those_that_do_not() {
+            openWith(1, new CallerUsage(Phase.IDLE, now, now - 60_000, now, 0, 0, 8 * MIB, 0, true));
+            openWith(2, body(4 * MIB, now - 1_000));
+
+            assertThat(use(2, body(9 * MIB, now - 1_000)))
+                    .contains(new CallerAction.Close(2, CloseReason.MEMORY))
+                    .doesNotContain(new CallerAction.Close(1, CloseReason.MEMORY));
+        }
+
         @Test
         void the_sums_return_to_zero() {
             openWith(1, body(6 * MIB, now));
@@ -139,7 +178,7 @@
 
             assertThat(account.totalBytes()).isZero();
             assertThat(account.connections()).isZero();
-            assertThat(account.acceptsRequests()).isTrue();
+            assertThat(account.acceptsRequest(1, 0)).isTrue();
         }
     }
 
@@ -155,6 +194,17 @@
             assertThat(account.opened(11, now)).containsExactly(new CallerAction.Close(5, CloseReason.CONNECTIONS));
         }
 
+        /** Guards against ending a caller that is reading its response. */
+        @Test
+        void those_without_unread_responses_give_way_first() {
+            openWith(1, new CallerUsage(Phase.IDLE, now, now - 60_000, now - 60_000, 0, 0, 10, 0, true));
+            for (long connection = 2; connection <= 10; connection++) {
+                openWith(connection, body(10, now + connection));
+            }
+
+            assertThat(account.opened(11, now)).containsExactly(new CallerAction.Close(2, CloseReason.CONNECTIONS));
+        }
+
         @Test
         void the_new_one_is_closed_if_all_others_have_requests() {
             for (long connection = 1; connection <= 10; connection++) {
@@ -169,10 +219,22 @@
             for (long connection = 1; connection <= 3; connection++) {
                 openWith(connection, queued(10, now));
             }
-            assertThat(account.acceptsRequests()).isTrue();
+            assertThat(account.acceptsRequest(5, 0)).isTrue();
             openWith(4, queued(10, now));
 
-            assertThat(account.acceptsRequests()).isFalse();
+            assertThat(account.acceptsRequest(5, 0)).isFalse();
+        }
+
+        /** Guards against one caller that sends requests ahead and makes the host refuse those of all others. */
+        @Test
+        void a_quarter_of_the_requests_is_left_to_the_first_ones_of_connections() {
+            account.opened(1, now);
+            account.opened(2, now);
+
+            assertThat(account.acceptsRequest(1, 2)).isTrue();
+            assertThat(account.acceptsRequest(1, 3)).isFalse();
+            use(1, new CallerUsage(Phase.IDLE, now, now, now, 0, 30, 0, 3, true));
+            assertThat(account.acceptsRequest(2, 0)).isTrue();
         }
     }
 
@@ -210,6 +272,16 @@
             assertThat(after(20_000)).containsExactly(new CallerAction.Close(1, CloseReason.UNREAD_RESPONSES));
         }
 
+        /** Guards against a last response that is never read and stays accounted for ever. */
+        @Test
+        void a_refused_caller_that_reads_nothing_is_closed_after_the_idle_timeout() {
+            openWith(1, new CallerUsage(Phase.HEADER, now, now, now, 10, 0, 0, 0, true));
+            assertThat(after(5_000)).containsExactly(new CallerAction.Close(1, CloseReason.HEADER_TIMEOUT));
+            use(1, new CallerUsage(Phase.IDLE, now, now, now, 0, 0, 100, 0, true));
+
+            assertThat(after(20_000)).containsExactly(new CallerAction.Close(1, CloseReason.UNREAD_RESPONSES));
+        }
+
         @Test
         void a_connection_that_is_not_read_is_not_late() {
             openWith(1, new CallerUsage(Phase.BODY, now, now, now, 10, 0, 0, 0, false));
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -99,10 +99,19 @@
         return !paused && replies.size() < MAX_PIPELINED && context.channel().isWritable();
     }
 
+    long now() {
+        return server.now();
+    }
+
     void bytesRead() {
         lastReadAt = server.now();
     }
 
+    /** Notes that a header section or a request is complete, so that the time for the next part starts. */
+    void partEnded() {
+        phaseSince = server.now();
+    }
+
     /** Sets the memory for the body of the request that is read next. */
     void charge(long bodyBytes) {
         nextBodyCharge = bodyBytes;
@@ -110,19 +119,21 @@
 
     /** Tells the server what the connection takes now. */
     void usageChanged() {
-        if (closing) {
+        if (!context.channel().isActive()) {
             return;
         }
-        long head = intake == null ? 0 : intake.headCharge();
-        Phase current = collector != null && collector.inBody() ? Phase.BODY : head > 0 ? Phase.HEADER : Phase.IDLE;
+        // What arrives after a refusal or the last response is dropped.
+        boolean receives = intake != null && !closing();
+        long head = receives ? intake.headCharge() : 0;
+        Phase current = receives && collector.inBody() ? Phase.BODY : head > 0 ? Phase.HEADER : Phase.IDLE;
         if (current != phase) {
             phase = current;
             phaseSince = server.now();
         }
-        if (!refused) {
+        if (!closing()) {
             updateReading();
         }
-        long unfinished = intake == null ? 0 : head + intake.heldBytes() + collector.bodyCharge();
+        long unfinished = receives ? head + intake.heldBytes() + collector.bodyCharge() : 0;
         server.used(
                 this,
                 new CallerUsage(
@@ -198,7 +209,7 @@
         CallerReply reply = new CallerReply(this, emptyRequest(), false, server.now(), 0);
         replies.addLast(reply);
         openRequests++;
-        refused = true;
+        dropArriving();
         server.logRefused(status.code());
         FullHttpResponse response = refusal(status);
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
@@ -207,6 +218,12 @@
         reply.respond(response);
     }
 
+    /** Drops bytes that arrive. Reading goes on, as it shows whether the caller of earlier requests has disconnected. */
+    private void dropArriving() {
+        refused = true;
+        context.channel().config().setAutoRead(true);
+    }
+
     private static FullHttpRequest emptyRequest() {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
     }
@@ -214,24 +231,27 @@
     private void dropUnfinished() {
         if (collector != null) {
             collector.drop();
-            intake.releaseHeld();
+            intake.drop();
         }
     }
 
-    /** Closes the connection because of what it takes. An unfinished request has not run and is told so if possible. */
+    /**
+     * Closes the connection because of what it takes. An unfinished request has not run and is told so if possible. Requests
+     * that may be running are answered first, except if the caller doesn't read.
+     */
     void closeFor(CloseReason reason) {
         boolean answers = phase != Phase.IDLE && !closing();
         switch (reason) {
             case HEADER_TIMEOUT, BODY_TIMEOUT -> {
-                if (answers) {
+                if (answers || openRequests > 0) {
                     refuse(HttpResponseStatus.REQUEST_TIMEOUT);
                 } else {
                     close();
                 }
             }
             case MEMORY -> {
-                // The memory of other requests and of responses becomes free only if the connection is closed.
-                if (answers && queuedBytes + unreadBytes <= CallerAccount.SMALL_BYTES) {
+                // The memory of responses becomes free only if the connection is closed.
+                if (openRequests > 0 || answers && queuedBytes + unreadBytes <= CallerAccount.SMALL_BYTES) {
                     refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 } else {
                     close();
@@ -243,11 +263,8 @@
 
     void responded(CallerReply reply, FullHttpResponse response) {
         openRequests--;
-        queuedBytes -= reply.requestCharge();
-        if (unreadBytes == 0) {
-            lastWriteAt = server.now();
-        }
-        unreadBytes += responseCharge(response);
+        // Until it is written, the response waits for earlier ones and not for the caller to read it.
+        queuedBytes += responseCharge(response) - reply.requestCharge();
     }
 
     private static long responseCharge(FullHttpResponse response) {
@@ -264,6 +281,7 @@
             return;
         }
         recordUse();
+        partEnded();
         // While the server drains, the last pending response closes the connection, so requests behind it are dropped.
         if (closing() || server.draining() && !replies.isEmpty()) {
             request.release();
@@ -272,22 +290,23 @@
         boolean keepAlive = HttpUtil.isKeepAlive(request);
         long charge = nextBodyCharge + (intake == null ? 0 : intake.headCharge());
         nextBodyCharge = 0;
-        CallerReply reply = new CallerReply(this, request, keepAlive, server.now(), charge);
+        CallerReply reply =
+                new CallerReply(this, request, keepAlive, intake == null ? server.now() : intake.readAt(), charge);
         replies.addLast(reply);
         openRequests++;
         queuedBytes += charge;
         if (request.decoderResult().isFailure()) {
             server.logMalformed(request.decoderResult().cause());
-            refused = true;
+            dropArriving();
             reply.respond(refusal(statusOf(request.decoderResult().cause())));
             return;
         }
         updateReading();
-        if (!server.acceptsRequests()) {
+        if (!server.acceptsRequest(this, openRequests - 1)) {
             FullHttpResponse response = refusal(HttpResponseStatus.SERVICE_UNAVAILABLE);
             response.headers().set(HttpHeaderNames.RETRY_AFTER, 1);
             server.logRefused(response.status().code());
-            refused = true;
+            dropArriving();
             reply.respond(response);
             return;
         }
@@ -341,6 +360,11 @@
                 || response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
         pendingWrites++;
         long charge = responseCharge(response);
+        if (unreadBytes == 0) {
+            lastWriteAt = server.now();
+        }
+        queuedBytes -= charge;
+        unreadBytes += charge;
         if (!close) {
             context.write(response).addListener(_ -> written(charge));
             return;
@@ -369,21 +393,25 @@
      * may then lose the response; until the close, what arrives is read and dropped.
      */
     private void linger(ChannelFuture writing) {
-        server.lingers(this);
         context.channel().config().setAutoRead(true);
         ChannelHandlerContext ctx = context;
+        // Earlier responses may still wait in the buffer, so the time starts only after the refusal was written.
         writing.addListener(done -> {
             if (!done.isSuccess()) {
                 ctx.close();
+            } else if (ctx.channel().isActive()) {
+                server.lingers(this);
+                ctx.channel().eventLoop().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
             }
         });
-        ctx.channel().eventLoop().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void discardReplies() {
         while (!replies.isEmpty()) {
             replies.pollFirst().discard();
         }
+        openRequests = 0;
+        queuedBytes = 0;
     }
 
     boolean idleSince(long threshold) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -218,8 +218,8 @@
         return account.totalBytes();
     }
 
-    boolean acceptsRequests() {
-        return account.acceptsRequests();
+    boolean acceptsRequest(CallerConnection connection, int openOnConnection) {
+        return account.acceptsRequest(connection.id(), openOnConnection);
     }
 
     /** Records a connection that stays open only for its caller to read a refusal; too many of them are closed at once. */
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestCollector.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestCollector.java
@@ -99,6 +99,7 @@
 
     private void begin(ChannelHandlerContext ctx, HttpRequest request) {
         headTaken = true;
+        connection.partEnded();
         head = request;
         length = OptionalLong.empty();
         if (request.decoderResult().isFailure()) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestIntake.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestIntake.java
@@ -23,6 +23,9 @@
     private final RequestCollector collector;
     private ByteBuf held;
     private boolean passing;
+    /** When the oldest of the held bytes arrived. */
+    private long heldSince;
+
     private int headBytes;
     private int lines;
     private int lineLength;
@@ -39,6 +42,9 @@
             return;
         }
         connection.bytesRead();
+        if (held == null) {
+            heldSince = connection.now();
+        }
         held = held == null ? bytes : ctx.alloc().compositeBuffer(2).addComponents(true, held, bytes);
         pass(ctx);
     }
@@ -120,6 +126,19 @@
         pass(ctx);
     }
 
+    /** Returns the earliest time at which a request that is decoded now may have been read. */
+    long readAt() {
+        return heldSince;
+    }
+
+    /** Drops what was received of an unfinished request. */
+    void drop() {
+        releaseHeld();
+        headBytes = 0;
+        lines = 0;
+        lineLength = 0;
+    }
+
     void releaseHeld() {
         if (held != null && !passing) {
             held.release();
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/RequestIntakeTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/caller/RequestIntakeTest.java
@@ -5,7 +5,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -13,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -247,4 +251,135 @@
             assertThat(others).allMatch(EmbeddedChannel::isOpen);
         }
     }
+
+    /** Requests that may be running, and responses that the caller hasn't taken. */
+    @Nested
+    class RunningRequests {
+
+        private final List<ChannelPromise> unwritten = new ArrayList<>();
+
+        /** Stops writes from completing, like a caller that doesn't read. */
+        private void stopWrites() {
+            channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+                @Override
+                public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                    ReferenceCountUtil.release(message);
+                    unwritten.add(promise);
+                }
+            });
+        }
+
+        private void completeWrites() {
+            List.copyOf(unwritten).forEach(ChannelPromise::trySuccess);
+            unwritten.clear();
+        }
+
+        private void pass(long millis) {
+            for (long end = now + millis; now < end; ) {
+                now += 1_000;
+                server.checkConnections();
+            }
+        }
+
+        /** Guards against cancelling a running request because the one behind it takes too much memory. */
+        @Test
+        void are_answered_before_the_refusal_of_an_unfinished_one_for_lack_of_memory() {
+            send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(100_000)
+                    + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 290000\r\n\r\n" + "x".repeat(280_000));
+            server.checkConnections();
+            now += 1_000;
+            for (EmbeddedChannel other : List.of(connect(), connect())) {
+                other.writeInbound(Unpooled.copiedBuffer(
+                        "POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 290000\r\n\r\n" + "x".repeat(250_000),
+                        StandardCharsets.US_ASCII));
+            }
+            pass(2_000);
+            assertThat(channel.isOpen()).isTrue();
+            replies.get(0).respond(response());
+
+            assertThat(written()).containsSubsequence("HTTP/1.1 200", "HTTP/1.1 503");
+        }
+
+        /** Guards against taking a response that waits for an earlier one for a response that the caller doesn't read. */
+        @Test
+        void keep_the_connection_open_while_later_responses_wait_for_them() {
+            send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            replies.get(1).respond(response());
+            pass(20_000);
+            replies.get(0).respond(response());
+
+            assertThat(written().split("HTTP/1.1 200")).hasSize(3);
+        }
+
+        /** Guards against a close that cuts off responses which the caller is still reading. */
+        @Test
+        void are_answered_in_full_before_the_time_to_read_a_refusal_starts() {
+            stopWrites();
+            send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nNONSENSE\r\n\r\n");
+            replies.get(0).respond(response());
+            runTasks(1_000);
+            assertThat(channel.isOpen()).isTrue();
+            completeWrites();
+            runTasks(400);
+            assertThat(channel.isOpen()).isTrue();
+            runTasks(200);
+
+            assertThat(channel.isOpen()).isFalse();
+        }
+
+        /** Guards against a last response that counts nowhere and whose connection stays for ever. */
+        @Test
+        void with_a_last_response_that_is_not_read_are_closed_after_the_idle_timeout() {
+            long before = server.accountedBytes();
+            stopWrites();
+            send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            replies.get(0).respond(response());
+            assertThat(server.accountedBytes() - before).isEqualTo(1_500);
+            pass(14_000);
+            assertThat(channel.isOpen()).isTrue();
+            pass(3_000);
+
+            assertThat(channel.isOpen()).isFalse();
+        }
+
+        /** Guards against refusing a caller whose requests each arrive in time. */
+        @Test
+        void of_a_caller_that_sends_steadily_get_no_408() {
+            send("GET /1 HT");
+            for (int i = 0; i < 6; i++) {
+                now += 1_000;
+                send("TP/1.1\r\nHost: h\r\n\r\nGET /1 HT");
+                replies.get(i).respond(response());
+                server.checkConnections();
+            }
+
+            assertThat(written().split("HTTP/1.1 200")).hasSize(7);
+            assertThat(channel.isOpen()).isTrue();
+        }
+
+        /** Guards against one caller that sends requests ahead and makes the host refuse everybody. */
+        @Test
+        void of_one_caller_leave_room_for_first_requests_of_others() {
+            String request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+            send(request.repeat(64));
+            connect().writeInbound(Unpooled.copiedBuffer(request.repeat(64), StandardCharsets.US_ASCII));
+            EmbeddedChannel other = connect();
+            other.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
+
+            assertThat(other.outboundMessages()).isEmpty();
+            assertThat(other.isOpen()).isTrue();
+        }
+
+        /** Guards against requests that were held back for long and look as if they had just arrived. */
+        @Test
+        void that_were_held_back_count_from_their_arrival() {
+            send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n".repeat(65));
+            now += 700;
+            replies.get(0).respond(response());
+            runTasks(1);
+            runTasks(1);
+
+            assertThat(replies.get(64).readAt()).isEqualTo(1_000);
+        }
+    }
 }
