--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/GrantorSuccession.java
@@ -17,6 +17,23 @@
     /** Since when this host has known the record of the last term, which is no earlier than its write. */
     private long knownSince;
 
+    /** Whether no host has claimed the role in the present epoch. */
+    private boolean beginsEpoch = true;
+
+    private long epoch = -1;
+    /** Since when this host has known the present epoch, which is no earlier than the return of the store. */
+    private long epochKnownSince;
+
+    /** Whether this host has seen the store come back from a copy. */
+    private boolean restoreSeen;
+    /**
+     * The former grantors of this host's term in the epoch before, and since when they are known, if this host was the only
+     * grantor until the store came back in the present epoch.
+     */
+    private Optional<FormerGrantors> formerBeforeRestore = Optional.empty();
+
+    private long formerBeforeRestoreKnownSince;
+
     private GrantorSuccession(FleetMember self, long renewalGraceMillis) {
         this.self = self;
         this.renewalGraceMillis = renewalGraceMillis;
@@ -31,6 +48,24 @@
         return new GrantorSuccession(self, renewalGraceMillis);
     }
 
+    /**
+     * Records the epoch of the store, as soon as any answer or record shows it.
+     *
+     * @param soleGrantor whether the lease of this host's term was still known to be valid in the epoch before, so that no other
+     *     host was the grantor up to the end of that one
+     */
+    public void epochSeen(long seenEpoch, boolean soleGrantor, long now) {
+        if (seenEpoch > epoch) {
+            restoreSeen = epoch >= 0;
+            formerBeforeRestore = restoreSeen && soleGrantor && seenEpoch == epoch + 1
+                    ? lastTerm.map(GrantorTerm::formerGrantors)
+                    : Optional.empty();
+            formerBeforeRestoreKnownSince = knownSince;
+            epoch = seenEpoch;
+            epochKnownSince = now;
+        }
+    }
+
     /**
      * Records the last term, which may have ended.
      *
@@ -39,7 +74,9 @@
      */
     public void lastTermChanged(Optional<GrantorTerm> term, long revision, long now) {
         if (revision != lastTermRevision) {
-            lastTerm = term;
+            // A term of an earlier epoch says nothing of the terms that the store has lost.
+            lastTerm = term.filter(last -> !last.restored());
+            beginsEpoch = revision == 0 || term.filter(GrantorTerm::restored).isPresent();
             lastTermRevision = revision;
             knownSince = now;
         }
@@ -47,14 +84,37 @@
 
     /** Returns the former grantors of a term that this host claims now. */
     public FormerGrantors formerGrantors(Map<HostId, FleetMember> members, long now) {
-        if (lastTermRevision == 0) {
+        if (beginsEpoch && formerBeforeRestore.isPresent()) {
+            return formerBeforeRestore
+                    .get()
+                    .remainingAfter(now - formerBeforeRestoreKnownSince)
+                    .without(former -> hasEnded(former, members));
+        }
+        if (lastTermRevision == 0 && !restoreSeen) {
             return FormerGrantors.NONE;
         }
+        if (beginsEpoch) {
+            // The grantors of the earlier epoch had no lease confirmed since the store came back.
+            return FormerGrantors.unnamed(renewalGraceMillis).remainingAfter(now - epochKnownSince);
+        }
         // An unreadable record may hide any grantor.
         return lastTerm.map(last -> formerGrantors(last, now).without(former -> hasEnded(former, members)))
                 .orElse(FormerGrantors.unnamed(renewalGraceMillis));
     }
 
+    /**
+     * Returns whether this host was the only grantor until the store came back in the present epoch, so that the tables it has
+     * in memory name all owners.
+     */
+    public boolean soleGrantorBefore() {
+        return formerBeforeRestore.isPresent();
+    }
+
+    /** Returns whether a term that this host claims now follows a return of the store from a copy, in whichever epoch. */
+    public boolean followsRestore() {
+        return lastTerm.map(last -> last.fenceFloor() > 0).orElse(lastTermRevision == 0 ? restoreSeen : epoch > 0);
+    }
+
     private FormerGrantors formerGrantors(GrantorTerm last, long now) {
         FleetMember holder = last.holder();
         return last.formerGrantors()
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -34,6 +34,11 @@
     private static final int MAX_RETRY_DOUBLINGS = 2;
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
     private static final long CLAIM_STAGGER_MILLIS = 150;
+    /**
+     * For how long other hosts leave the first claim of a new epoch to the grantor of the earlier one, which may go on by its own
+     * table. Their own wait for its renewals is longer, and doesn't begin with the claim.
+     */
+    private static final long FIRST_CLAIM_DELAY_MILLIS = 3_000;
 
     private final FleetMember self;
     private final long renewalGraceMillis;
@@ -59,6 +64,13 @@
     private Optional<GrantorTerm> ownTerm = Optional.empty();
 
     private long ownTermConfirmedAt = Long.MIN_VALUE / 2;
+    /** When the last term of this host in an earlier epoch of the store was last confirmed. */
+    private long earlierEpochConfirmedAt = Long.MIN_VALUE / 2;
+
+    private long epoch = -1;
+    /** When this host first saw the present epoch, if it has seen an earlier one. */
+    private long restoreSeenAt = Long.MIN_VALUE / 2;
+
     private Optional<GrantorTerm> activeTerm = Optional.empty();
     private boolean stopping;
 
@@ -84,6 +96,20 @@
         }
     }
 
+    /**
+     * Records the epoch of the store, as soon as any answer or record shows it.
+     *
+     * @return whether it is a new one, and the lease of this host's term was known to be valid until now
+     */
+    public boolean epochSeen(long seenEpoch, long now) {
+        boolean rises = seenEpoch > epoch && epoch >= 0;
+        if (rises) {
+            restoreSeenAt = now;
+        }
+        epoch = Math.max(epoch, seenEpoch);
+        return rises && termConfirmed(now);
+    }
+
     /** Records the registration of a host. */
     public void memberRegistered(FleetMember member) {
         members.put(member.host(), member);
@@ -112,7 +138,15 @@
         grantor = term;
         grantorRevision = revision;
         Optional<GrantorTerm> own = term.filter(current -> current.holder().sameIncarnation(self));
+        boolean ofEarlierEpoch =
+                ownTerm.filter(held -> StoreEpoch.of(held.revision()) < epoch).isPresent();
+        if (ofEarlierEpoch && term.isEmpty()) {
+            // The store has lost the term. It still renews until its time is over or another term begins. The first
+            // term of the new epoch waits for that.
+            return;
+        }
         if (!own.equals(ownTerm)) {
+            earlierEpochConfirmedAt = ofEarlierEpoch && own.isPresent() ? ownTermConfirmedAt : Long.MIN_VALUE / 2;
             ownTerm = own;
             ownTermConfirmedAt = boundToPresentLease(own) ? confirmedAt : Long.MIN_VALUE / 2;
         }
@@ -202,6 +236,14 @@
         return activeTerm.isPresent() && boundToPresentLease(activeTerm) && leaseConfirmed(now);
     }
 
+    /**
+     * Returns whether this host, as the grantor of the present epoch, may still renew what it granted in its last term of an
+     * earlier one.
+     */
+    public boolean renewsEarlierEpoch(long now) {
+        return activeTerm.isPresent() && now < earlierEpochConfirmedAt + renewalGraceMillis;
+    }
+
     /** Returns until when the lease is known to be valid, with a margin for a local clock slower than the store's. */
     public long leaseValidUntil() {
         return stopping ? Long.MIN_VALUE : confirmedAt + leaseMillis - CLOCK_MARGIN_MILLIS;
@@ -291,7 +333,8 @@
             boolean heldByEarlierIncarnation = holder.host().equals(self.host()) && !holder.sameIncarnation(self);
             return heldByEarlierIncarnation || hasEnded(holder);
         }
-        if (grantorAbsentSince == Long.MAX_VALUE) {
+        boolean leavesClaimToEarlierGrantor = activeTerm.isEmpty() && now - restoreSeenAt < FIRST_CLAIM_DELAY_MILLIS;
+        if (grantorAbsentSince == Long.MAX_VALUE || leavesClaimToEarlierGrantor) {
             return false;
         }
         return now >= grantorAbsentSince + rank() * CLAIM_STAGGER_MILLIS;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -48,11 +48,13 @@
     private final ServiceName service;
     private final GrantSettings settings;
     private final TargetDirectory directory;
-    private final KeyLoad load = KeyLoad.empty();
     private final Map<TargetId, TargetGrants> grants = new HashMap<>();
     private final Map<Assignment, MoveProgress> moves = new HashMap<>();
     private final Map<Assignment, Long> nextRenewalAt = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
+    private final List<EndedMove> endedMoves = new ArrayList<>();
+    private KeyLoad load = KeyLoad.empty();
+    private Optional<PlacementPlan> latestPlan = Optional.empty();
     private ShardTable table = ShardTable.EMPTY;
     private long tableRevision;
     private boolean leading;
@@ -60,6 +62,12 @@
     private Set<Assignment> inheritedAssignments = Set.of();
     private long leadingSince;
     private long othersRenewUntil;
+    /** All tokens of the present term are above this one. */
+    private long fenceFloor;
+    /** Until when others may hold keys by grants of an earlier epoch of the store. */
+    private long earlierHoldsEndAt;
+
+    private boolean renewsEarlierEpoch;
     private long nextPlanAt;
     private long writeOutstandingUntil = Long.MIN_VALUE;
     private long lastCallNumber;
@@ -99,18 +107,38 @@
     }
 
     /**
-     * Starts granting: this host has become the grantor.
+     * Starts granting: this host has become the grantor of a store that never came back from a copy.
      *
      * @param formerGrantors the earlier grantors that may still renew grants
      * @param termKnownSince since when this host has known the record that names them
      */
     public void startLeading(FormerGrantors formerGrantors, long termKnownSince, long now) {
+        startLeading(formerGrantors, termKnownSince, 0, false, now);
+    }
+
+    /**
+     * Starts granting: this host has become the grantor.
+     *
+     * @param formerGrantors the earlier grantors that may still renew grants
+     * @param termKnownSince since when this host has known the record that names them
+     * @param floor all fencing tokens of the term are above it; by a table with lower ones nothing is granted
+     * @param soleGrantorBefore whether no other host was the grantor before the store came back from a copy, so that the table
+     *     that this host knows names all owners
+     */
+    public void startLeading(
+            FormerGrantors formerGrantors, long termKnownSince, long floor, boolean soleGrantorBefore, long now) {
         if (leading) {
             return;
         }
+        fenceFloor = floor;
         leading = true;
         leadingSince = now;
+        // Requests that arrived while another host was the grantor are unknown.
+        load = KeyLoad.empty();
         othersRenewUntil = termKnownSince + formerGrantors.renewForMillis();
+        earlierHoldsEndAt = soleGrantorBefore
+                ? Long.MIN_VALUE
+                : othersRenewUntil + settings.callTimeoutMillis() + settings.worstCaseHoldMillis();
         inheritedAssignments = new HashSet<>(table.assignments());
         grants.clear();
         moves.clear();
@@ -133,6 +161,10 @@
         if (revision > tableRevision) {
             writeOutstandingUntil = Long.MIN_VALUE;
         }
+        if (leading && isOfEarlierEpoch(table) && !isOfEarlierEpoch(newTable)) {
+            // Moves that the earlier epoch left unfinished are resumed under new tokens.
+            inheritedAssignments = new HashSet<>(newTable.assignments());
+        }
         table = newTable;
         tableRevision = revision;
         moves.keySet().retainAll(newTable.assignments());
@@ -149,6 +181,16 @@
         leaseValid = confirmed;
     }
 
+    /** Records whether this host may still renew what it granted itself in an earlier epoch of the store. */
+    public void renewsEarlierEpoch(boolean renewing) {
+        renewsEarlierEpoch = renewing;
+    }
+
+    /** Returns whether nothing may be granted by a table, as the store came back from a copy since it was written. */
+    private boolean isOfEarlierEpoch(ShardTable any) {
+        return any.lastFence() < fenceFloor;
+    }
+
     /**
      * Returns the effects that are due.
      *
@@ -160,6 +202,11 @@
         if (!leading) {
             return effects;
         }
+        if (isOfEarlierEpoch(table)) {
+            renewEarlierGrants(now, effects);
+            writeTableAnew(now, effects);
+            return effects;
+        }
         for (Assignment assignment : table.assignments()) {
             if (assignment.move().isPresent()) {
                 advanceMove(assignment, now, effects);
@@ -171,6 +218,31 @@
         return effects;
     }
 
+    /** Goes on with the renewals of this host's last term in the earlier epoch, for the time for which any other term waits. */
+    private void renewEarlierGrants(long now, List<GrantEffect> effects) {
+        if (!renewsEarlierEpoch) {
+            return;
+        }
+        boolean valid = leaseValid;
+        leaseValid = false;
+        table.assignments().stream()
+                .filter(assignment -> assignment.move().isEmpty())
+                .forEach(assignment -> renewGrant(assignment, now, effects));
+        leaseValid = valid;
+    }
+
+    /** Writes the table of an earlier epoch under new fencing tokens, once no other target can hold keys of it. */
+    private void writeTableAnew(long now, List<GrantEffect> effects) {
+        if (now < earlierHoldsEndAt || now < writeOutstandingUntil || !leaseValid) {
+            return;
+        }
+        ShardTable next = table.assignments().isEmpty() ? plan(table, now) : table;
+        if (!next.assignments().isEmpty()) {
+            writeOutstandingUntil = now + WRITE_TIMEOUT_MILLIS;
+            effects.add(new GrantEffect.Persist(service, next.renumberedAbove(fenceFloor), tableRevision));
+        }
+    }
+
     private TargetGrants grantsOf(TargetId target) {
         return grants.computeIfAbsent(
                 target,
@@ -235,6 +307,7 @@
 
     private void advanceMove(Assignment assignment, long now, List<GrantEffect> effects) {
         MoveProgress progress = moves.computeIfAbsent(assignment, a -> startMove(a, now));
+        progress.measure(now);
         Move move = assignment.move().orElseThrow();
         if (progress.step() == Step.DONE) {
             renewMovedGrant(assignment, move, now, effects);
@@ -317,7 +390,7 @@
         if (owner.hasOutstandingCalls()) {
             expiresAt = Math.max(expiresAt, now + settings.callTimeoutMillis() + settings.worstCaseHoldMillis());
         }
-        MoveProgress progress = new MoveProgress(first, knownIncarnation(assignment), expiresAt);
+        MoveProgress progress = new MoveProgress(first, knownIncarnation(assignment), expiresAt, now);
         progress.retryAt(now + PROPAGATION_DELAY_MILLIS);
         return progress;
     }
@@ -331,7 +404,8 @@
         MoveProgress progress = new MoveProgress(
                 Step.RELEASE,
                 knownIncarnation(assignment),
-                grantsOf(assignment.owner()).heldUntil());
+                grantsOf(assignment.owner()).heldUntil(),
+                now);
         progress.retryAt(Math.max(now, leadingSince + settings.callTimeoutMillis()));
         return progress;
     }
@@ -357,6 +431,8 @@
         }
         if (call.step != Step.RELEASE) {
             grantsOf(call.target).callEnded(result, call.sentAt, now);
+        } else if (result instanceof GrantResult.TargetEnded) {
+            grantsOf(call.target).processEnded(call.sentAt, now);
         }
         Optional<MoveProgress> current = Optional.ofNullable(moves.get(call.assignment));
         if (call.progress.isEmpty()) {
@@ -366,7 +442,7 @@
         } else if (call.progress.equals(current) && call.progress.get().step() == call.step) {
             moveCallEnded(call, call.progress.get(), result, now);
         }
-        if (leading) {
+        if (leading && !isOfEarlierEpoch(table)) {
             if (current.isPresent() && call.assignment.move().isPresent()) {
                 advanceMove(call.assignment, now, effects);
             }
@@ -376,10 +452,13 @@
     }
 
     private void moveCallEnded(Call call, MoveProgress progress, GrantResult result, long now) {
+        progress.measure(now);
         switch (call.step) {
             case FENCE_OWNER -> {
                 if (result instanceof GrantResult.Done) {
                     progress.ownerFenced(grantsOf(call.target).heldUntil());
+                } else if (ownerEnded(call, progress, result)) {
+                    progress.advanceTo(Step.GRANT);
                 } else {
                     progress.expiresNotBefore(grantsOf(call.target).heldUntil());
                     progress.advanceTo(Step.AWAIT_EXPIRY);
@@ -389,15 +468,19 @@
             case RELEASE -> {
                 if (result instanceof GrantResult.Done done) {
                     progress.released(done.handover());
+                } else if (ownerEnded(call, progress, result)) {
+                    progress.advanceTo(Step.GRANT);
                 } else {
-                    progress.retryAt(now + RETRY_DELAY_MILLIS);
+                    boolean registered = directory.target(call.target).isPresent();
+                    progress.retryAt(now + (registered ? RETRY_DELAY_MILLIS : OWNER_RETRY_DELAY_MILLIS));
                 }
             }
             case GRANT -> {
                 if (result instanceof GrantResult.Done) {
                     progress.advanceTo(Step.DONE);
                 } else if (grantsOf(call.target).unresponsiveMillis(now) > UNRESPONSIVE_AFTER_MILLIS
-                        || result instanceof GrantResult.Fenced) {
+                        || result instanceof GrantResult.Fenced
+                        || result instanceof GrantResult.TargetEnded) {
                     // The new owner may hold the keys, so it counts as the owner; they can move on from there.
                     progress.advanceTo(Step.DONE);
                 } else {
@@ -408,6 +491,18 @@
         }
     }
 
+    /**
+     * Returns whether the process that owned the keys of a move has ended. The call must have gone to the latest incarnation
+     * that is known, since a later one may hold the keys at another address.
+     */
+    private boolean ownerEnded(Call call, MoveProgress progress, GrantResult result) {
+        return result instanceof GrantResult.TargetEnded
+                && directory
+                        .lastEntry(call.target)
+                        .filter(entry -> entry.incarnation() == progress.ownerIncarnation())
+                        .isPresent();
+    }
+
     private void updateTable(long now, List<GrantEffect> effects) {
         if (now < writeOutstandingUntil || !leaseValid) {
             return;
@@ -429,6 +524,9 @@
             if (entry.getValue().step() == Step.DONE) {
                 Assignment moved = entry.getKey();
                 Move move = moved.move().orElseThrow();
+                if (entry.getValue().takeEnd()) {
+                    endedMoves.add(endedMove(moved, entry.getValue()));
+                }
                 after = after.with(
                         new Assignment(moved.range(), move.to(), move.incarnation(), move.fence(), Optional.empty()));
             }
@@ -436,6 +534,18 @@
         return after;
     }
 
+    private static EndedMove endedMove(Assignment moved, MoveProgress progress) {
+        return new EndedMove(
+                moved.range(),
+                moved.owner(),
+                moved.move().orElseThrow().to(),
+                progress.millisIn(Step.FENCE_OWNER),
+                progress.millisIn(Step.RELEASE),
+                progress.millisIn(Step.AWAIT_EXPIRY),
+                progress.millisIn(Step.GRANT),
+                progress.handover().isPresent());
+    }
+
     private ShardTable plan(ShardTable before, long now) {
         List<PlanTarget> targets = planTargets(now);
         if (before.assignments().isEmpty()) {
@@ -445,7 +555,11 @@
                     : before;
         }
         ShardTable after = before;
-        for (PlannedMove planned : ShardPlanner.plan(before, targets, load.snapshot(now))) {
+        PlacementPlan plan = ShardPlanner.plan(before, targets, load.windows(now));
+        if (!plan.moves().isEmpty()) {
+            latestPlan = Optional.of(plan);
+        }
+        for (PlannedMove planned : plan.moves()) {
             Assignment owner = after.assignmentOf(planned.range().first()).orElseThrow();
             long fence = after.lastFence() + Move.FENCES;
             after = after.with(new Assignment(
@@ -487,13 +601,32 @@
 
     private double capacityPerSecond(TargetState target, double mean, long now) {
         double millis =
-                Math.clamp(target.longTermServiceMillis(mean), mean * MIN_LATENCY_RATIO, mean * MAX_LATENCY_RATIO);
+                Math.clamp(target.plannedServiceMillis(mean), mean * MIN_LATENCY_RATIO, mean * MAX_LATENCY_RATIO);
         double requestsPerSecond = target.entry().slots() * MILLIS_PER_SECOND / millis;
         return target.cold(now)
                 ? Math.min(requestsPerSecond, spec.coldPerSecond() * COLD_CAPACITY_SHARE)
                 : requestsPerSecond;
     }
 
+    /** Returns the service whose keys are granted. */
+    public ServiceName service() {
+        return service;
+    }
+
+    /** Returns the latest plan with moves, once. */
+    public Optional<PlacementPlan> takePlan() {
+        Optional<PlacementPlan> taken = latestPlan;
+        latestPlan = Optional.empty();
+        return taken;
+    }
+
+    /** Returns the moves that ended since the last call. */
+    public List<EndedMove> takeEndedMoves() {
+        List<EndedMove> taken = List.copyOf(endedMoves);
+        endedMoves.clear();
+        return taken;
+    }
+
     public ShardTable table() {
         return table;
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/RequestPath.java
@@ -53,7 +53,7 @@
     private final TargetMessages messages;
     private final HeaderNames names;
     private final HostClock clock;
-    private final RateLimitedLog log = new RateLimitedLog(LogManager.getLogger(RequestPath.class));
+    private final RateLimitedLog log = RateLimitedLog.to(LogManager.getLogger(RequestPath.class));
     private final Map<Long, OpenRequest> openRequests = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private final TargetBodies targetBodies;
@@ -264,8 +264,13 @@
         long now = clock.monotonicMillis();
         gateway.signalsReceived(send.target(), messages.signals(response), now);
         AttemptResult result = messages.result(response, open.requestId());
-        if (!(result instanceof AttemptResult.Answered(AttemptResult.Grade grade))
-                || grade != AttemptResult.Grade.SUCCESS) {
+        if (result instanceof AttemptResult.Answered(AttemptResult.Grade grade)
+                && grade == AttemptResult.Grade.SUCCESS) {
+            gateway.bytesTransferred(
+                    send.attempt(),
+                    (long) open.request().content().readableBytes()
+                            + response.content().readableBytes());
+        } else {
             log.info(
                     "event=attempt_ended id={} target={} result={} status={} millis={}",
                     open.requestId(),
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -14,12 +15,16 @@
 import org.dragonflymux.core.membership.FormerGrantors;
 import org.dragonflymux.core.membership.GrantorTerm;
 import org.dragonflymux.core.membership.MembershipStateMachine;
+import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.core.name.ServiceName;
+import org.dragonflymux.core.shard.Assignment;
+import org.dragonflymux.core.shard.EndedMove;
 import org.dragonflymux.core.shard.GrantEffect;
 import org.dragonflymux.core.shard.GrantResult;
 import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.core.shard.GrantStateMachine;
 import org.dragonflymux.core.shard.ShardTable;
+import org.dragonflymux.gateway.RateLimitedLog;
 import org.dragonflymux.gateway.clock.HoldClock;
 import org.dragonflymux.gateway.clock.LeaseClock;
 import org.dragonflymux.gateway.store.StoreClient;
@@ -34,6 +39,7 @@
 
     private static final Logger LOG = LogManager.getLogger(GrantLoop.class);
     private static final long RELEASE_TIMEOUT_MILLIS = 4_000;
+    private static final double PERCENT = 100;
 
     private final StoreClient store;
     private final GrantClient grantClient;
@@ -45,10 +51,22 @@
     private final BiConsumer<ServiceName, ShardTable> tableListener;
     private final Map<ServiceName, GrantStateMachine> grantStateMachines = new HashMap<>();
     private final Map<ServiceName, StoredTable> tables = new HashMap<>();
+    /** Without its lease, a grantor has hundreds of failed renewals a second. */
+    private final RateLimitedLog failures = RateLimitedLog.to(LOG);
+
     private Optional<GrantorTerm> term = Optional.empty();
     private long termKnownSince;
+    private boolean soleGrantorBefore;
 
-    private record StoredTable(ShardTable table, long revision) {}
+    private long epoch;
+
+    /**
+     * A table as this host knows it.
+     *
+     * @param revision the revision of the stored table
+     * @param contentEpoch the epoch of the store in which the content was read
+     */
+    private record StoredTable(ShardTable table, long revision, long contentEpoch) {}
 
     /**
      * Creates the loop of a host that is not the grantor.
@@ -99,10 +117,25 @@
             TableCodec.decode(item.value())
                     .ifPresentOrElse(
                             table -> applyTable(service, table, item.revision()),
-                            () -> LOG.warn("event=table_unreadable service={} revision={}", service, item.revision()));
+                            () -> tableUnreadable(service, item.revision()));
+        }
+    }
+
+    private void tableUnreadable(ServiceName service, long revision) {
+        LOG.warn("event=table_unreadable service={} revision={}", service, revision);
+        StoredTable known = tables.get(service);
+        if (known != null && StoreEpoch.of(known.revision()) < epoch) {
+            keepTable(service, known, revision);
         }
     }
 
+    /** Keeps a table of an earlier epoch, which takes the place of the stored one with the next write. */
+    private void keepTable(ServiceName service, StoredTable known, long revision) {
+        tables.put(service, new StoredTable(known.table(), revision, known.contentEpoch()));
+        Optional.ofNullable(grantStateMachines.get(service))
+                .ifPresent(grantStateMachine -> grantStateMachine.tableStored(known.table(), revision));
+    }
+
     private boolean isNewer(ServiceName service, long revision) {
         return !tables.containsKey(service) || revision > tables.get(service).revision();
     }
@@ -111,7 +144,13 @@
         if (!isNewer(service, revision)) {
             return;
         }
-        tables.put(service, new StoredTable(table, revision));
+        StoredTable known = tables.get(service);
+        if (known != null && isRestored(table, revision, known)) {
+            LOG.info("event=table_restored service={} lastFence={} revision={}", service, table.lastFence(), revision);
+            keepTable(service, known, revision);
+            return;
+        }
+        tables.put(service, new StoredTable(table, revision, StoreEpoch.of(revision)));
         GrantStateMachine grantStateMachine = grantStateMachines.get(service);
         if (grantStateMachine != null) {
             grantStateMachine.tableStored(table, revision);
@@ -119,6 +158,27 @@
         tableListener.accept(service, table);
     }
 
+    /**
+     * Returns whether a stored table is of an earlier epoch, and the known one shows the owners better: each change of owners
+     * takes a higher fencing token, and the only grantor of the epoch before knows by which table it acted.
+     */
+    private boolean isRestored(ShardTable stored, long revision, StoredTable known) {
+        long storedEpoch = StoreEpoch.of(revision);
+        return storedEpoch > known.contentEpoch()
+                && stored.lastFence() < StoreEpoch.fenceFloor(storedEpoch)
+                && (soleGrantorBefore || stored.lastFence() <= known.table().lastFence());
+    }
+
+    /**
+     * Records the epoch of the store's content, before the tables in it.
+     *
+     * @param soleGrantor whether this host was the only grantor until the store came back in this epoch
+     */
+    void epochRead(long readEpoch, boolean soleGrantor) {
+        epoch = readEpoch;
+        soleGrantorBefore = soleGrantor;
+    }
+
     /** Records that requests for keys arrived at any host. */
     void recordKeyRequests(Map<ServiceName, int[]> keys) {
         if (term.isEmpty()) {
@@ -133,6 +193,17 @@
         });
     }
 
+    /** Handles the end of a pass over the records: tables that the store had in an earlier epoch only are written anew. */
+    void tablesRead() {
+        for (ServiceName service : Set.copyOf(tables.keySet())) {
+            StoredTable known = tables.get(service);
+            if (StoreEpoch.of(known.revision()) < epoch) {
+                LOG.info("event=table_lost service={}", service);
+                keepTable(service, known, StoreEpoch.startOf(epoch));
+            }
+        }
+    }
+
     /** Handles the begin or the end of a term of this host as the grantor. */
     void termChanged(Optional<GrantorTerm> newTerm) {
         LOG.info(
@@ -156,51 +227,84 @@
     }
 
     private void startLeading(GrantStateMachine grantStateMachine) {
-        term.ifPresent(current ->
-                grantStateMachine.startLeading(current.formerGrantors(), termKnownSince, holdClock.nowMillis()));
+        term.ifPresent(current -> grantStateMachine.startLeading(
+                current.formerGrantors(),
+                termKnownSince,
+                current.fenceFloor(),
+                soleGrantorBefore,
+                holdClock.nowMillis()));
     }
 
     /** Runs the state machines and carries out the effects that are due. */
     void tick() {
+        failures.tick(leaseClock.nowMillis());
         grantStateMachines.values().forEach(this::tick);
     }
 
     private void tick(GrantStateMachine grantStateMachine) {
         boolean termConfirmed = membership.termConfirmed(leaseClock.nowMillis());
+        grantStateMachine.renewsEarlierEpoch(membership.renewsEarlierEpoch(leaseClock.nowMillis()));
         run(grantStateMachine, grantStateMachine.tick(termConfirmed, holdClock.nowMillis()));
     }
 
     private void run(GrantStateMachine grantStateMachine, List<GrantEffect> effects) {
+        logPlacement(grantStateMachine);
         for (GrantEffect effect : effects) {
+            // A target whose entry was removed may still hold keys, and its last address tells whether it has ended.
             switch (effect) {
                 case GrantEffect.Persist persist -> persist(grantStateMachine, persist);
                 case GrantEffect.Grant grant ->
                     directory
-                            .target(grant.target())
+                            .lastEntry(grant.target())
                             .ifPresentOrElse(
-                                    target -> grantClient.grant(
-                                            target.entry(), grant, settings.callTimeoutMillis(), result -> {
-                                                logUnlessDone(grant, result);
-                                                callEnded(grantStateMachine, grant.call(), result);
-                                            }),
+                                    target -> grantClient.grant(target, grant, settings.callTimeoutMillis(), result -> {
+                                        logUnlessDone(grant, result);
+                                        callEnded(grantStateMachine, grant.call(), result);
+                                    }),
                                     () -> callEnded(grantStateMachine, grant.call(), new GrantResult.NotSent()));
                 case GrantEffect.Release release ->
                     directory
-                            .target(release.target())
+                            .lastEntry(release.target())
                             .ifPresentOrElse(
-                                    target -> grantClient.release(
-                                            target.entry(), release, RELEASE_TIMEOUT_MILLIS, result -> {
-                                                LOG.info("event=keys_released release={} result={}", release, result);
-                                                callEnded(grantStateMachine, release.call(), result);
-                                            }),
+                                    target -> grantClient.release(target, release, RELEASE_TIMEOUT_MILLIS, result -> {
+                                        LOG.info("event=keys_released release={} result={}", release, result);
+                                        callEnded(grantStateMachine, release.call(), result);
+                                    }),
                                     () -> callEnded(grantStateMachine, release.call(), new GrantResult.NotSent()));
             }
         }
     }
 
-    private static void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
+    private static void logPlacement(GrantStateMachine grantStateMachine) {
+        grantStateMachine
+                .takePlan()
+                .ifPresent(plan -> LOG.info(
+                        "event=placement_planned service={} moves={} busiestPercent={} meanPercent={} inProgress={} limit={}",
+                        grantStateMachine.service(),
+                        plan.moves().size(),
+                        Math.round(PERCENT * plan.busiestUtilization()),
+                        Math.round(PERCENT * plan.meanUtilization()),
+                        plan.movesInProgress(),
+                        plan.limit()));
+        for (EndedMove move : grantStateMachine.takeEndedMoves()) {
+            LOG.info(
+                    "event=move_ended service={} range={} from={} to={} fenceMs={} releaseMs={} expiryMs={} grantMs={}"
+                            + " handover={}",
+                    grantStateMachine.service(),
+                    move.range(),
+                    move.from(),
+                    move.to(),
+                    move.fenceMillis(),
+                    move.releaseMillis(),
+                    move.expiryMillis(),
+                    move.grantMillis(),
+                    move.handover());
+        }
+    }
+
+    private void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
         if (!(result instanceof GrantResult.Done)) {
-            LOG.info("event=grant_failed grant={} result={}", grant, result);
+            failures.info("event=grant_failed grant={} result={}", grant, result);
         }
     }
 
@@ -211,8 +315,11 @@
     }
 
     private void persist(GrantStateMachine grantStateMachine, GrantEffect.Persist persist) {
+        Set<Assignment> stored = Optional.ofNullable(tables.get(persist.service()))
+                .map(known -> Set.copyOf(known.table().assignments()))
+                .orElse(Set.of());
         persist.table().assignments().stream()
-                .filter(assignment -> assignment.move().isPresent())
+                .filter(assignment -> assignment.move().isPresent() && !stored.contains(assignment))
                 .forEach(assignment -> LOG.info("event=move_planned assignment={}", assignment));
         String key = FleetRecords.tableKey(persist.service());
         long termRevision = membership.activeTerm().map(GrantorTerm::revision).orElseThrow();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.dragonflymux.core.membership.StoreEpoch;
 import org.dragonflymux.gateway.clock.HoldClock;
 import org.dragonflymux.gateway.clock.LeaseClock;
 
@@ -27,6 +28,10 @@
     private static final long RETRY_DELAY_MILLIS = 250;
     private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
     private static final long FIRST_WATCH_MILLIS = 20;
+    /** After this delay beyond its wait, a call without an answer is followed by another one. */
+    private static final long OVERDUE_MILLIS = 800;
+
+    private static final long NO_CALL = 0;
     private static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
 
     private final EventLoop loop;
@@ -43,7 +48,12 @@
     private long retryDelayMillis = RETRY_DELAY_MILLIS;
     private boolean reachable = true;
     private boolean watchingStore = true;
-    private boolean callOutstanding;
+    /** The latest call, until it is answered or overdue. Answers to earlier calls are applied, but start no further call. */
+    private long currentCall = NO_CALL;
+
+    private long lastCall = NO_CALL;
+    /** When the latest call that was answered had been sent. */
+    private long answeredCallSentAt = Long.MIN_VALUE;
 
     /** Receives the changes of the mirror. */
     public interface Listener {
@@ -97,7 +107,7 @@
             InetSocketAddress relayAddress,
             Listener listener) {
         StoreMirror mirror = new StoreMirror(loop, store, prefix, watchMillis, clock, holdClock, listener);
-        mirror.relay.listen(relayAddress, mirror::snapshot);
+        mirror.relay.listen(relayAddress, mirror::snapshot, () -> mirror.frame(false, List.of()));
         mirror.read();
         return mirror;
     }
@@ -112,7 +122,7 @@
         relay.subscribe(source, this::frameReceived);
         boolean resumes = watchStore && !watchingStore;
         watchingStore = watchStore;
-        if (resumes && !callOutstanding) {
+        if (resumes) {
             // The first watch is short, to confirm the current state without delay.
             continueWatching(FIRST_WATCH_MILLIS);
         }
@@ -129,7 +139,7 @@
     }
 
     private void continueWatching(long nextWatchMillis) {
-        if (!watchingStore || callOutstanding) {
+        if (!watchingStore || currentCall != NO_CALL) {
             return;
         }
         if (revision < 0) {
@@ -145,29 +155,79 @@
         retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
     }
 
+    /**
+     * Records that a call is sent. A store that was silent may answer new calls long before an earlier one times out, so a
+     * call that is overdue is followed by another one.
+     */
+    private long startCall(long waitMillis) {
+        long call = ++lastCall;
+        currentCall = call;
+        loop.schedule(() -> callOverdue(call), waitMillis + OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
+        return call;
+    }
+
+    private void callOverdue(long call) {
+        if (endCall(call)) {
+            continueWatching(FIRST_WATCH_MILLIS);
+        }
+    }
+
+    /** Records that a call has ended or is overdue, and returns whether it was the current one. */
+    private boolean endCall(long call) {
+        boolean current = call == currentCall;
+        if (current) {
+            currentCall = NO_CALL;
+        }
+        return current;
+    }
+
+    /** Handles a failed call. The failure of a call that was sent before an answered one says nothing about the store now. */
+    private void callFailed(StoreError error, boolean current, long sentAt) {
+        if (sentAt > answeredCallSentAt) {
+            markUnreachable(error);
+        }
+        retryIf(current);
+    }
+
+    private void retryIf(boolean current) {
+        if (current) {
+            scheduleRetry();
+        }
+    }
+
     private void read() {
-        callOutstanding = true;
+        long call = startCall(0);
         long sentAt = clock.nowMillis();
-        store.range(prefix, result -> readEnded(result, sentAt));
+        store.range(prefix, result -> readEnded(result, endCall(call), sentAt));
     }
 
-    private void readEnded(Either<StoreError, StoreClient.Range> result, long sentAt) {
-        callOutstanding = false;
+    private void readEnded(Either<StoreError, StoreClient.Range> result, boolean current, long sentAt) {
         if (result.isLeft()) {
-            markUnreachable(result.getLeft());
-            scheduleRetry();
+            callFailed(result.getLeft(), current, sentAt);
+            return;
+        }
+        markReachable(sentAt);
+        if (StoreEpoch.of(result.get().revision()) < epoch()) {
+            retryIf(current);
             return;
         }
-        markReachable();
         if (result.get().revision() >= revision) {
             replace(result.get().items(), result.get().revision());
             relay.publish(snapshot());
         }
         confirm(sentAt);
-        continueWatching(watchMillis);
+        if (current) {
+            continueWatching(watchMillis);
+        }
     }
 
     private void replace(List<StoredItem> all, long newRevision) {
+        if (revision >= 0 && StoreEpoch.of(newRevision) > epoch()) {
+            LOG.warn("event=store_epoch_read epoch={} before={}", StoreEpoch.of(newRevision), epoch());
+            // Targets write their entries again, as after an outage.
+            recoveredAt = clock.nowMillis();
+            listener.storeRecovered(recoveredAt);
+        }
         Set<String> changedKeys = new HashSet<>(items.keySet());
         items.clear();
         all.forEach(item -> items.put(item.key(), item));
@@ -191,30 +251,40 @@
     }
 
     private void watch(long timeoutMillis) {
-        callOutstanding = true;
+        long call = startCall(timeoutMillis);
         long sentAt = clock.nowMillis();
-        store.watch(prefix, revision, timeoutMillis, result -> watchEnded(result, sentAt, timeoutMillis));
+        store.watch(
+                prefix, revision, timeoutMillis, result -> watchEnded(result, endCall(call), sentAt, timeoutMillis));
     }
 
-    private void watchEnded(Either<StoreError, StoreClient.Changes> result, long sentAt, long timeoutMillis) {
-        callOutstanding = false;
-        if (result.isLeft()) {
-            if (result.getLeft() == StoreError.COMPACTED) {
+    private void watchEnded(
+            Either<StoreError, StoreClient.Changes> result, boolean current, long sentAt, long timeoutMillis) {
+        if (result.isLeft() && result.getLeft() == StoreError.COMPACTED) {
+            if (current) {
                 read();
-            } else {
-                markUnreachable(result.getLeft());
-                scheduleRetry();
             }
             return;
         }
-        markReachable();
+        if (result.isLeft()) {
+            callFailed(result.getLeft(), current, sentAt);
+            return;
+        }
+        markReachable(sentAt);
         StoreClient.Changes changes = result.get();
+        if (StoreEpoch.of(changes.revision()) < epoch()) {
+            // The store came back from a copy since then, as another host has told.
+            retryIf(current);
+            return;
+        }
         // A watch that ended without changes shows that there were none until its end.
         boolean unchanged = changes.changes().isEmpty();
         completeAt = Math.max(completeAt, unchanged ? Math.min(sentAt + timeoutMillis, clock.nowMillis()) : sentAt);
         List<StoreChange> applied = apply(changes);
         confirm(completeAt);
         publish(applied);
+        if (!current) {
+            return;
+        }
         if (unchanged) {
             continueWatching(watchMillis);
         } else {
@@ -258,7 +328,22 @@
         return true;
     }
 
+    /** Returns the epoch of this copy, -1 if there is none yet. */
+    private long epoch() {
+        return StoreEpoch.of(revision);
+    }
+
     private void frameReceived(RelayFrame frame) {
+        long frameEpoch = StoreEpoch.of(frame.changes().revision());
+        if (frameEpoch > 0 && !StoreEpoch.isValid(frameEpoch) || frameEpoch < Math.max(epoch(), store.epoch())) {
+            // The sender doesn't know yet that the store came back from a copy.
+            return;
+        }
+        if (frameEpoch > epoch() && revision >= 0 && !frame.snapshot()) {
+            // The values that the changes build on are missing; a new connection starts with all of them.
+            relay.reconnect();
+            return;
+        }
         if (frame.sinceRecoveryMillis() < NEVER_MILLIS) {
             recoveredAt = Math.max(recoveredAt, clock.nowMillis() - Math.max(0, frame.sinceRecoveryMillis()));
             listener.storeRecovered(recoveredAt);
@@ -324,7 +409,8 @@
                 Optional.empty());
     }
 
-    private void markReachable() {
+    private void markReachable(long sentAt) {
+        answeredCallSentAt = Math.max(answeredCallSentAt, sentAt);
         retryDelayMillis = RETRY_DELAY_MILLIS;
         if (!reachable) {
             reachable = true;
