Lease ids of the store fit beside its epoch

Cause: revisions and lease ids kept 40 bits beside the epoch, but the store's lease ids are larger than 2^40. Hosts named leases that the store doesn't know, also where it states no epoch: a host registered, was told that its lease had ended, and began again.

Change: numbers have 53 bits, all that are exact in JSON, and epochs 10.

The stand-in's small ids hid the fault from EndToEndTest.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/StoreEpoch.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/StoreEpoch.java
@@ -7,16 +7,16 @@
  */
 public final class StoreEpoch {
 
-    /** Bits of a revision or lease id within its epoch; 2^40 writes are 34 years at 1,000 writes a second. */
-    private static final int NUMBER_BITS = 40;
+    /** Bits of a revision or lease id within its epoch. The store may use all numbers that are exact in JSON. */
+    private static final int NUMBER_BITS = 53;
 
     private static final long NUMBER_MASK = (1L << NUMBER_BITS) - 1;
 
-    /** Bits of the fencing tokens of one epoch. Tokens stay below 2^53, the limit of exact numbers in JSON, for 2^21 epochs. */
+    /** Bits of the fencing tokens of one epoch. Tokens stay below 2^53, the limit of exact numbers in JSON, in all epochs. */
     private static final int FENCE_BITS = 32;
 
-    /** The highest epoch whose fencing tokens stay below 2^53. */
-    private static final long MAX_EPOCH = (1L << 21) - 1;
+    /** The highest epoch that fits beside a number. */
+    private static final long MAX_EPOCH = (1L << (Long.SIZE - 1 - NUMBER_BITS)) - 1;
 
     private StoreEpoch() {}
 
