--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetSelector.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetSelector.java
@@ -21,8 +21,8 @@
     /** Average number of hosts whose subset contains the same target. */
     private static final double COMPETING_HOSTS = 16;
 
-    /** With fewer candidates at home, a host would find none with a free slot and send requests elsewhere. */
-    private static final double MIN_CANDIDATES_AT_HOME = 6;
+    /** With fewer candidates of its own domain, a host would find none with a free slot and send requests elsewhere. */
+    private static final double MIN_CANDIDATES_IN_OWN_DOMAIN = 6;
 
     private static final int MAX_QUEUED_PER_TARGET = 1;
     private static final double FAILURE_WEIGHT = 4;
@@ -66,13 +66,14 @@
     private Optional<TargetState> best(
             ServiceName service, Set<TargetId> excluded, double leavingCostMillis, double candidateShare, long now) {
         Map<FailureDomain, Double> unreported = unreportedPerTarget(service, candidateShare, now);
-        int targetsAtHome = directory.countsByDomain(service).getOrDefault(ownDomain, 0);
-        double shareAtHome = Math.max(candidateShare, MIN_CANDIDATES_AT_HOME / Math.max(1, targetsAtHome));
+        int targetsInOwnDomain = directory.countsByDomain(service).getOrDefault(ownDomain, 0);
+        double shareInOwnDomain =
+                Math.max(candidateShare, MIN_CANDIDATES_IN_OWN_DOMAIN / Math.max(1, targetsInOwnDomain));
         double defaultMillis = directory.meanServiceMillis(service);
         TargetState best = null;
         double bestScore = Double.MAX_VALUE;
         for (TargetState target : directory.forService(service)) {
-            double share = leavesDomain(target) ? candidateShare : shareAtHome;
+            double share = leavesDomain(target) ? candidateShare : shareInOwnDomain;
             if (share < 1 && pacer.hostTargetHash().fractionFor(target) >= share
                     || excluded.contains(target.entry().id())
                     || !target.hasRoom(MAX_QUEUED_PER_TARGET)
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/quota/DistributedRateLimiter.java
@@ -125,7 +125,7 @@
             Set<Integer> heldNow = storeEpoch >= 0 && readIn == storeEpoch + 1
                     ? partitions.values().stream()
                             .filter(partition ->
-                                    heldUnderKnownLease(partition, now) && lendsNobodyElseSince(partition) <= now)
+                                    heldUnderKnownLease(partition, now) && noOtherLenderSince(partition) <= now)
                             .map(LenderPartition::number)
                             .collect(Collectors.toSet())
                     : Set.of();
@@ -171,11 +171,11 @@
     private void updateHeldPartitions(long now) {
         lender.replacePartitions(
                 partitions.values().stream().filter(this::heldUnderCurrentLease).toList(),
-                partition -> Math.max(reclaimedSince.getOrDefault(partition, now), lendsNobodyElseSince(partition)));
+                partition -> Math.max(reclaimedSince.getOrDefault(partition, now), noOtherLenderSince(partition)));
     }
 
     /** Returns since when no lender of an earlier epoch of the store has lent the tokens of a partition. */
-    private long lendsNobodyElseSince(LenderPartition partition) {
+    private long noOtherLenderSince(LenderPartition partition) {
         return heldThroughRestore.contains(partition.number())
                 ? restoreKnownSince
                 : restoreKnownSince + MembershipStateMachine.LEASE_MILLIS;
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Balancing.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/Balancing.java
@@ -136,7 +136,7 @@
             state.balancingMove(hotKey.get(), owner, faster.get().id());
             return true;
         }
-        return moveNeighbours(hotKey.get(), owner);
+        return moveOtherKeys(hotKey.get(), owner);
     }
 
     private Optional<KeyRange> tooHotKey(TargetId owner) {
@@ -167,7 +167,7 @@
     }
 
     /** Moves the other ranges with requests away from the owner of a hot key, as far as others have room. */
-    private boolean moveNeighbours(KeyRange hotKey, TargetId owner) {
+    private boolean moveOtherKeys(KeyRange hotKey, TargetId owner) {
         boolean moved = false;
         for (KeyRange whole : List.copyOf(state.settledRanges.get(owner))) {
             for (KeyRange part : PlanningState.without(hotKey, whole)) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/balance/CrossDomainSpilloverTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/balance/CrossDomainSpilloverTest.java
@@ -211,7 +211,7 @@
 
     /** Guards against traffic between failure domains that gains callers nothing. */
     @Nested
-    class EnoughCapacityAtHome {
+    class EnoughCapacityInOwnDomain {
 
         @Test
         void hardly_any_request_leaves() {
@@ -224,7 +224,7 @@
         }
     }
 
-    /** Guards against callers that are refused, or wait at home, while targets elsewhere are idle. */
+    /** Guards against callers that are refused, or wait in their own domain, while targets elsewhere are idle. */
     @Nested
     class OneOverloadedDomain {
 
@@ -290,7 +290,7 @@
     }
 
     @Nested
-    class NoTargetAtHome {
+    class NoTargetInOwnDomain {
 
         /** Guards against a cost that keeps requests from leaving a domain that is drained. */
         @Test
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/CrossDomainTrafficTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/CrossDomainTrafficTest.java
@@ -72,7 +72,7 @@
         gateway.attemptEnded(send.attempt(), new AttemptResult.Answered(AttemptResult.Grade.SUCCESS), now);
     }
 
-    /** Occupies all slots of the target at home, and returns where the next request goes. */
+    /** Occupies all slots of the target in the host's own domain, and returns where the next request goes. */
     private TargetId destinationWhileHomeIsBusy() {
         for (int i = 0; i < SLOTS; i++) {
             assertThat(send().target().id()).isEqualTo(TargetId.of("near"));
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -210,12 +210,8 @@
         replies.addLast(reply);
         openRequests++;
         dropArriving();
-        server.logRefused(status.code());
-        FullHttpResponse response = refusal(status);
-        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, 1);
-        }
-        reply.respond(response);
+        server.countRefusal(status.code());
+        reply.respond(refusal(status));
     }
 
     /** Drops bytes that arrive. Reading goes on, as it shows whether the caller of earlier requests has disconnected. */
@@ -304,8 +300,7 @@
         updateReading();
         if (!server.acceptsRequest(this, openRequests - 1)) {
             FullHttpResponse response = refusal(HttpResponseStatus.SERVICE_UNAVAILABLE);
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, 1);
-            server.logRefused(response.status().code());
+            server.countRefusal(response.status().code());
             dropArriving();
             reply.respond(response);
             return;
@@ -332,6 +327,9 @@
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, 1);
+        }
         return response;
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -60,7 +60,7 @@
     private int linesThisSecond;
     private long lastConnection;
     private Channel serverChannel;
-    private ScheduledFuture<?> idleCheck;
+    private ScheduledFuture<?> connectionCheck;
     private boolean draining;
 
     private CallerServer(
@@ -134,7 +134,7 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
-        idleCheck = loop.scheduleWithFixedDelay(this::checkConnections, 1, 1, TimeUnit.SECONDS);
+        connectionCheck = loop.scheduleWithFixedDelay(this::checkConnections, 1, 1, TimeUnit.SECONDS);
         LOG.info(
                 "event=caller_limits memoryBytes={} connections={} openRequests={} targetBodyBytes={}",
                 account.limits().memoryBytes(),
@@ -186,7 +186,7 @@
     }
 
     /** Counts a refusal that was given before the request was handled. */
-    void logRefused(int status) {
+    void countRefusal(int status) {
         refusalsByStatus.merge(status, 1, Integer::sum);
     }
 
@@ -290,7 +290,7 @@
     /** Stops accepting connections and no longer closes idle ones. */
     public void stopListening() {
         if (serverChannel.isOpen()) {
-            idleCheck.cancel(false);
+            connectionCheck.cancel(false);
             serverChannel.close();
         }
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestCollector.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestCollector.java
@@ -41,7 +41,7 @@
     private long bodyBytes;
     private long allocatedBytes;
     private OptionalLong length = OptionalLong.empty();
-    private boolean headTaken;
+    private boolean headCompleted;
     private long contents;
 
     RequestCollector(CallerConnection connection, int maxBodyBytes) {
@@ -63,9 +63,9 @@
     }
 
     /** Returns whether a header section was completed since the last call. */
-    boolean headTaken() {
-        boolean taken = headTaken;
-        headTaken = false;
+    boolean takeHeadCompleted() {
+        boolean taken = headCompleted;
+        headCompleted = false;
         return taken;
     }
 
@@ -98,7 +98,7 @@
     }
 
     private void begin(ChannelHandlerContext ctx, HttpRequest request) {
-        headTaken = true;
+        headCompleted = true;
         connection.partEnded();
         head = request;
         length = OptionalLong.empty();
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestIntake.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/RequestIntake.java
@@ -66,7 +66,7 @@
                 // Without content these are lines of a trailer, of which the decoder makes fields.
                 lines += trailerLines;
             }
-            if (!collector.inBody() && collector.headTaken()) {
+            if (!collector.inBody() && collector.takeHeadCompleted()) {
                 headBytes = 0;
                 lines = 0;
             }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/EpochGuard.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/EpochGuard.java
@@ -82,16 +82,16 @@
     }
 
     /** Returns whether a revision or lease id is of another epoch than the present one, so that the store doesn't know it. */
-    public boolean isOutdated(long qualified) {
+    public boolean isOfOtherEpoch(long qualified) {
         return qualified != 0 && current != UNKNOWN && StoreEpoch.of(qualified) != current;
     }
 
     /** Returns the reason not to send a write, if a revision or lease in it is of another epoch. */
     public Optional<StoreError> refusal(List<StoreClient.ExpectedRevision> expected, List<StoreClient.Put> puts) {
-        if (puts.stream().anyMatch(put -> isOutdated(put.lease()))) {
+        if (puts.stream().anyMatch(put -> isOfOtherEpoch(put.lease()))) {
             return Optional.of(StoreError.LEASE_ENDED);
         }
-        return expected.stream().anyMatch(row -> isOutdated(row.revision()))
+        return expected.stream().anyMatch(row -> isOfOtherEpoch(row.revision()))
                 ? Optional.of(StoreError.CONFLICT)
                 : Optional.empty();
     }
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
@@ -484,12 +484,12 @@
 
         @Override
         public void renewLease(long lease, Consumer<Either<StoreError, Long>> result) {
-            call(epochs.isOutdated(lease), () -> renew(StoreEpoch.numberOf(lease)), result);
+            call(epochs.isOfOtherEpoch(lease), () -> renew(StoreEpoch.numberOf(lease)), result);
         }
 
         @Override
         public void endLease(long lease, Consumer<Either<StoreError, Long>> result) {
-            call(epochs.isOutdated(lease), () -> end(StoreEpoch.numberOf(lease)), result);
+            call(epochs.isOfOtherEpoch(lease), () -> end(StoreEpoch.numberOf(lease)), result);
         }
     }
 }
