--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/balance/CrossDomainSpilloverTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/balance/CrossDomainSpilloverTest.java
@@ -39,7 +39,7 @@
     /** The load that keeps all slots of a failure domain busy, in requests per millisecond. */
     private static final double FULL_LOAD = (double) TARGETS_PER_DOMAIN * SLOTS / WORK_MILLIS;
 
-    /** What became of the requests of one run. */
+    /** The counts of one run: requests sent and those that left their domain, by domain of the caller's host. */
     private record Outcome(int[] sent, int[] left, int unsent, int late) {
 
         double leftShare(int domain) {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerConnection.java
@@ -34,7 +34,7 @@
     private static final int MAX_PIPELINED = 64;
     /** Memory for the objects and the header section of a response. */
     private static final int RESPONSE_BYTES = 1_500;
-    /** How long a connection stays open after a refusal, for the caller to read it before it learns of the close. */
+    /** How long a connection stays open after a refusal, so that the caller reads the response before the close. */
     private static final long LINGER_MILLIS = 500;
 
     private final CallerServer server;
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
@@ -193,7 +193,7 @@
             long now = holdClock.nowMillis();
             state.timestamp = new ReceivedTimestamp(timestamp.readLong(), now);
             // While the store is away there is nothing new to relay. A subscriber that
-            // hears nothing would turn to another host, which then sends it a snapshot.
+            // receives no frames would subscribe to another host, which then sends it a snapshot.
             if (now - state.sentAt >= MAX_QUIET_MILLIS) {
                 send(context.channel(), emptyFrame.get());
             }
