An answer by another process ends only the move that asked, not all holds of a target

Cause: an answer of another process at a target's last address erased all holds of that target, also those of a later incarnation that this host's directory didn't know yet.

Change: holds are never erased. A move goes on only if its own call went to the owner's latest incarnation, by the table and by the directory at sending and at the answer, and the owner is no longer registered. Renewals to such a target slow down as before.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -78,9 +78,15 @@
      *
      * @param progress the move that the call belongs to, empty if it renews a grant
      * @param step the step of the move in which the call was sent
+     * @param calledIncarnation the incarnation whose address the call was sent to
      */
     private record Call(
-            TargetId target, Assignment assignment, Optional<MoveProgress> progress, Step step, long sentAt) {}
+            TargetId target,
+            Assignment assignment,
+            Optional<MoveProgress> progress,
+            Step step,
+            long sentAt,
+            long calledIncarnation) {}
 
     private GrantStateMachine(ServiceSpec spec, GrantSettings settings, TargetDirectory directory) {
         this.service = spec.name();
@@ -285,7 +291,7 @@
      */
     private void sendRenewal(Assignment assignment, TargetId to, long fence, long now, List<GrantEffect> effects) {
         nextRenewalAt.put(assignment, now + settings.renewalIntervalMillis());
-        long call = recordCall(new Call(to, assignment, Optional.empty(), Step.DONE, now));
+        long call = recordCall(new Call(to, assignment, Optional.empty(), Step.DONE, now, lastIncarnation(to)));
         grantsOf(to).callSent();
         GrantEffect.Connection connection =
                 leaseValid ? GrantEffect.Connection.ANY : GrantEffect.Connection.ESTABLISHED;
@@ -302,7 +308,8 @@
             long now,
             List<GrantEffect> effects) {
         progress.callSent();
-        long call = recordCall(new Call(to, assignment, Optional.of(progress), progress.step(), now));
+        long call =
+                recordCall(new Call(to, assignment, Optional.of(progress), progress.step(), now, lastIncarnation(to)));
         grantsOf(to).callSent();
         effects.add(new GrantEffect.Grant(
                 call, to, assignment.range(), fence, settings.holdMillis(), handover, GrantEffect.Connection.ANY));
@@ -425,7 +432,13 @@
 
     private void sendRelease(Assignment assignment, MoveProgress progress, long now, List<GrantEffect> effects) {
         progress.callSent();
-        long call = recordCall(new Call(assignment.owner(), assignment, Optional.of(progress), Step.RELEASE, now));
+        long call = recordCall(new Call(
+                assignment.owner(),
+                assignment,
+                Optional.of(progress),
+                Step.RELEASE,
+                now,
+                lastIncarnation(assignment.owner())));
         long fence = assignment.move().orElseThrow().releaseFence();
         effects.add(new GrantEffect.Release(call, assignment.owner(), assignment.range(), fence));
     }
@@ -439,8 +452,6 @@
         }
         if (call.step != Step.RELEASE) {
             grantsOf(call.target).callEnded(result, call.sentAt, now);
-        } else if (result instanceof GrantResult.TargetEnded) {
-            grantsOf(call.target).processEnded(call.sentAt, now);
         }
         Optional<MoveProgress> current = Optional.ofNullable(moves.get(call.assignment));
         if (call.progress.isEmpty()) {
@@ -500,15 +511,20 @@
     }
 
     /**
-     * Returns whether the process that owned the keys of a move has ended. The call must have gone to the latest incarnation
-     * that is known, since a later one may hold the keys at another address.
+     * Returns whether the process that owned the keys of a move has ended. The call must have gone to the owner's latest incarnation
+     * by the table and by the directory, since a later one may hold the keys at another address, and the owner must no longer be
+     * registered.
      */
     private boolean ownerEnded(Call call, MoveProgress progress, GrantResult result) {
         return result instanceof GrantResult.TargetEnded
-                && directory
-                        .lastEntry(call.target)
-                        .filter(entry -> entry.incarnation() == progress.ownerIncarnation())
-                        .isPresent();
+                && call.calledIncarnation() == progress.ownerIncarnation()
+                && lastIncarnation(call.target()) == progress.ownerIncarnation()
+                && directory.target(call.target()).isEmpty();
+    }
+
+    /** Returns the latest incarnation of a target that was ever registered, as far as this host knows; 0 if there is none. */
+    private long lastIncarnation(TargetId target) {
+        return directory.lastEntry(target).map(TargetEntry::incarnation).orElse(0L);
     }
 
     private void updateTable(long now, List<GrantEffect> effects) {
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/TargetGrants.java
@@ -41,8 +41,7 @@
                 unconfirmedUntil = Math.max(unconfirmedUntil, now + settings.worstCaseHoldMillis());
                 callFailed(sentAt, now);
             }
-            case GrantResult.NotSent _ -> callFailed(sentAt, now);
-            case GrantResult.TargetEnded _ -> processEnded(sentAt, now);
+            case GrantResult.NotSent _, GrantResult.TargetEnded _ -> callFailed(sentAt, now);
             case GrantResult.Fenced _ -> failingSince = Long.MAX_VALUE;
         }
     }
@@ -53,13 +52,6 @@
         retryAt = now + settings.renewalIntervalMillis() / 6;
     }
 
-    /** Records that the target's process has ended, with all grants that it had from this grantor or from earlier ones. */
-    void processEnded(long sentAt, long now) {
-        heldUntil = Long.MIN_VALUE;
-        unconfirmedUntil = Long.MIN_VALUE;
-        callFailed(sentAt, now);
-    }
-
     /** Returns the latest time until which the target may hold keys that were granted so far. */
     long heldUntil() {
         return Math.max(heldUntil, unconfirmedUntil);
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
@@ -201,6 +201,7 @@
     class EndedOwner {
 
         private GrantEffect.Grant fencing;
+        private long storedRevision = 10;
 
         @BeforeEach
         void lose() {
@@ -241,6 +242,31 @@
             assertThat(granted(after)).isFalse();
         }
 
+        /** Guards against a second owner: a result that concerns one move must not end the holds of the target's other keys. */
+        @Test
+        void a_renewal_that_another_process_answers_proves_nothing_for_a_later_incarnation() {
+            directory.replace(List.of(entry("a", 1, false), entry("b", 1, false)), now);
+            machine.tableStored(
+                    ShardTable.EMPTY.with(new Assignment(KeyRange.ALL, TargetId.of("a"), 2, 50, Optional.empty())), 3);
+            List<GrantEffect> effects = new ArrayList<>();
+            GrantEffect.Grant renewal = of(GrantEffect.Grant.class, runFor(300)).getFirst();
+            effects.addAll(machine.callEnded(renewal.call(), new GrantResult.TargetEnded(), now));
+            directory.replace(List.of(entry("b", 1, false)), now);
+            for (long end = now + 3_000; now < end; now += 50) {
+                for (GrantEffect effect : tick()) {
+                    effects.add(effect);
+                    if (effect instanceof GrantEffect.Persist persist) {
+                        machine.tableStored(persist.table(), ++storedRevision);
+                    } else if (effect instanceof GrantEffect.Grant grant
+                            && grant.target().equals(TargetId.of("a"))) {
+                        effects.addAll(machine.callEnded(grant.call(), new GrantResult.TargetEnded(), now));
+                    }
+                }
+            }
+
+            assertThat(granted(effects)).isFalse();
+        }
+
         /** Guards against a second owner: a later incarnation of the owner may hold the keys at another address. */
         @Test
         void its_keys_stay_if_it_has_started_again() {
