--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
@@ -249,7 +249,9 @@
             directory.replace(List.of(entry("a", 1, false), entry("b", 1, false)), now);
             machine.tableStored(
                     ShardTable.EMPTY.with(new Assignment(KeyRange.ALL, TargetId.of("a"), 2, 50, Optional.empty())), 3);
-            machine.callEnded(fencing.call(), new GrantResult.TargetEnded(), now);
+            for (long call = 1; call <= fencing.call(); call++) {
+                machine.callEnded(call, new GrantResult.TargetEnded(), now);
+            }
 
             assertThat(granted(answerCallsToA(3_000, new GrantResult.TargetEnded())))
                     .isFalse();
