A slow store's answer that history is lost leads to a read; hosts without a copy send no empty frames

Cause: the answer of a watch that was already followed by another one was dropped if it told of lost history, so a copy was never read anew while the store answered more slowly than 0.8 s; reads of all values were repeated as early as watches. A host without a copy told its subscribers that it is alive. Found by review.

Change: such an answer starts a read unless one is under way; a read is overdue only after its own timeout.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/Relay.java
@@ -70,9 +70,10 @@
      * Accepts subscribers on the given address.
      *
      * @param initialFrame supplies the first frame for a new subscriber
-     * @param emptyFrame supplies the frame for a subscriber that has got nothing for a while
+     * @param emptyFrame supplies the frame for a subscriber that has got nothing for a while, empty if there is no copy yet
      */
-    void listen(InetSocketAddress address, Supplier<RelayFrame> initialFrame, Supplier<RelayFrame> emptyFrame) {
+    void listen(
+            InetSocketAddress address, Supplier<RelayFrame> initialFrame, Supplier<Optional<RelayFrame>> emptyFrame) {
         new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
@@ -170,9 +171,9 @@
     private final class Subscriber extends SimpleChannelInboundHandler<ByteBuf> {
 
         private final Supplier<RelayFrame> initialFrame;
-        private final Supplier<RelayFrame> emptyFrame;
+        private final Supplier<Optional<RelayFrame>> emptyFrame;
 
-        Subscriber(Supplier<RelayFrame> initialFrame, Supplier<RelayFrame> emptyFrame) {
+        Subscriber(Supplier<RelayFrame> initialFrame, Supplier<Optional<RelayFrame>> emptyFrame) {
             this.initialFrame = initialFrame;
             this.emptyFrame = emptyFrame;
         }
@@ -195,7 +196,7 @@
             // While the store is away there is nothing new to relay. A subscriber that
             // receives no frames would subscribe to another host, which then sends it a snapshot.
             if (now - state.sentAt >= MAX_QUIET_MILLIS) {
-                send(context.channel(), emptyFrame.get());
+                emptyFrame.get().ifPresent(frame -> send(context.channel(), frame));
             }
         }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreMirror.java
@@ -31,6 +31,9 @@
     /** After this delay beyond its wait, a call without an answer is followed by another one. */
     private static final long OVERDUE_MILLIS = 800;
 
+    /** A read of all values takes longer than other calls; it is overdue after its own timeout only. */
+    private static final long READ_MILLIS = 1_000;
+
     private static final long NO_CALL = 0;
     private static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
 
@@ -51,6 +54,7 @@
     /** The latest call, until it is answered or overdue. Answers to earlier calls are applied, but start no further call. */
     private long currentCall = NO_CALL;
 
+    private boolean currentCallReads;
     private long lastCall = NO_CALL;
     /** When the latest call that was answered had been sent. */
     private long answeredCallSentAt = Long.MIN_VALUE;
@@ -107,7 +111,7 @@
             InetSocketAddress relayAddress,
             Listener listener) {
         StoreMirror mirror = new StoreMirror(loop, store, prefix, watchMillis, clock, holdClock, listener);
-        mirror.relay.listen(relayAddress, mirror::snapshot, () -> mirror.frame(false, List.of()));
+        mirror.relay.listen(relayAddress, mirror::snapshot, mirror::emptyFrame);
         mirror.read();
         return mirror;
     }
@@ -162,6 +166,7 @@
     private long startCall(long waitMillis) {
         long call = ++lastCall;
         currentCall = call;
+        currentCallReads = false;
         loop.schedule(() -> callOverdue(call), waitMillis + OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
         return call;
     }
@@ -196,7 +201,8 @@
     }
 
     private void read() {
-        long call = startCall(0);
+        long call = startCall(READ_MILLIS);
+        currentCallReads = true;
         long sentAt = clock.nowMillis();
         store.range(prefix, result -> readEnded(result, endCall(call), sentAt));
     }
@@ -260,7 +266,8 @@
     private void watchEnded(
             Either<StoreError, StoreClient.Changes> result, boolean current, long sentAt, long timeoutMillis) {
         if (result.isLeft() && result.getLeft() == StoreError.COMPACTED) {
-            if (current) {
+            // Also the late answer of an earlier watch tells that no watch can bring the missing changes.
+            if (current || currentCall == NO_CALL || !currentCallReads) {
                 read();
             }
             return;
@@ -393,6 +400,11 @@
         return frame(true, all);
     }
 
+    /** Returns the frame that tells a subscriber that this host is alive, if it has a copy. */
+    private Optional<RelayFrame> emptyFrame() {
+        return revision < 0 ? Optional.empty() : Optional.of(frame(false, List.of()));
+    }
+
     private void publish(List<StoreChange> changes) {
         if (revision >= 0) {
             relay.publish(frame(false, changes));
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
@@ -34,6 +34,8 @@
      * again, since relays and a slow answer take time as well.
      */
     private static final long MAX_RETURN_MILLIS = 1_500;
+    /** An answer that comes later than the next call is sent. */
+    private static final long SLOW_ANSWER_MILLIS = 1_100;
     /** A source of updates that says nothing for longer is taken for lost. */
     private static final long MAX_SILENCE_MILLIS = 1_400;
 
@@ -57,7 +59,9 @@
         private final List<StoreChange> history = new ArrayList<>();
         private final AtomicInteger calls = new AtomicInteger();
         private final AtomicInteger unansweredWatches = new AtomicInteger();
+        private final AtomicInteger reads = new AtomicInteger();
         private volatile boolean silent;
+        private volatile boolean compacted;
         private long revision = 1;
 
         void write(String key) {
@@ -67,12 +71,20 @@
         @Override
         public void range(String prefix, Consumer<Either<StoreError, Range>> result) {
             calls.incrementAndGet();
+            reads.incrementAndGet();
             loop.execute(() -> result.accept(Either.right(new Range(List.of(), revision))));
         }
 
         @Override
         public void watch(String prefix, long after, long waitMillis, Consumer<Either<StoreError, Changes>> result) {
             calls.incrementAndGet();
+            if (compacted) {
+                loop.schedule(
+                        () -> result.accept(Either.left(StoreError.COMPACTED)),
+                        waitMillis + SLOW_ANSWER_MILLIS,
+                        TimeUnit.MILLISECONDS);
+                return;
+            }
             if (silent) {
                 unansweredWatches.incrementAndGet();
                 loop.schedule(
@@ -244,6 +256,19 @@
         assertThat(last.updates.get() - before).isGreaterThanOrEqualTo(3);
     }
 
+    /** Guards against a copy that is never read anew, because a slow store tells of lost history only after the next call. */
+    @Test
+    void a_late_answer_that_history_is_lost_leads_to_a_read() throws Exception {
+        mirror(unusedAddress(), Optional.empty(), new Recorder());
+        Thread.sleep(2 * WATCH_MILLIS);
+        int before = store.reads.get();
+
+        store.compacted = true;
+        Thread.sleep(3 * SLOW_ANSWER_MILLIS);
+
+        assertThat(store.reads.get() - before).isBetween(1, 4);
+    }
+
     /** Guards against hosts that burden a store which is slow to answer with ever more calls. */
     @Test
     void a_silent_store_gets_few_calls() throws Exception {
