Callers are bounded by the descriptors that the settings state

Cause: the limit on connections followed from the descriptors that the system reports for the process, 200 on the users' platform, though the settings state 8,192 and less.

Change: limits.max-fds of the settings file comes first; without it the reported limit holds, as before.

--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ProcessLimits.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ProcessLimits.java
@@ -20,10 +20,14 @@
 
     private ProcessLimits() {}
 
-    /** Returns the limits on callers that follow from the heap, the memory for direct buffers and the descriptors. */
-    public static CallerLimits callerLimits() {
+    /**
+     * Returns the limits on callers that follow from the heap, the memory for direct buffers and the descriptors.
+     *
+     * @param statedDescriptors the descriptors that the process may open by its settings, 0 if they don't say so
+     */
+    public static CallerLimits callerLimits(long statedDescriptors) {
         long memory = Math.min(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory());
-        return CallerLimits.of(memory, descriptors());
+        return CallerLimits.of(memory, statedDescriptors > 0 ? statedDescriptors : descriptors());
     }
 
     private static long descriptors() {
