--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/caller/CallerServer.java
@@ -85,7 +85,7 @@
             Supplier<RequestLimits> limits,
             LongSupplier clock,
             PollTracker pollTracker) {
-        return on(loop, handler, limits, clock, pollTracker, ProcessLimits.callerLimits());
+        return on(loop, handler, limits, clock, pollTracker, ProcessLimits.callerLimits(0));
     }
 
     /**
