--- a/review/standin-2/Http.java
+++ b/review/standin-2/Http.java
@@ -94,6 +94,14 @@
         return bytes.toString(StandardCharsets.UTF_8);
     }
 
+    /** Writes a message without the second half of its body. */
+    static void writePart(OutputStream out, String first, Map<String, String> headers, byte[] body) throws IOException {
+        ByteArrayOutputStream whole = new ByteArrayOutputStream();
+        write(whole, first, headers, body);
+        out.write(whole.toByteArray(), 0, whole.size() - (body.length + 1) / 2);
+        out.flush();
+    }
+
     /** Writes a message in one piece. */
     static void write(OutputStream out, String first, Map<String, String> headers, byte[] body) throws IOException {
         StringBuilder head = new StringBuilder(first).append("\r\n");
