--- a/review/standin-2/HttpStorm.java
+++ b/review/standin-2/HttpStorm.java
@@ -50,6 +50,9 @@
         int result;
         try (Fleet fleet = new Fleet(record)) {
             result = new HttpStorm(record).run(fleet, Integer.parseInt(arguments[1]));
+        } catch (Exception failure) {
+            record.tell("trial: it couldn't run: %s", failure);
+            result = Fleet.NOT_RUN;
         }
         record.tell("result: %d", result);
         record.close();
--- a/review/standin-2/StaleGrantor.java
+++ b/review/standin-2/StaleGrantor.java
@@ -23,6 +23,9 @@
         int result;
         try (Fleet fleet = new Fleet(record)) {
             result = run(fleet, record);
+        } catch (Exception failure) {
+            record.tell("trial: it couldn't run: %s", failure);
+            result = Fleet.NOT_RUN;
         }
         record.tell("result: %d", result);
         record.close();
--- a/review/standin-2/Storm.java
+++ b/review/standin-2/Storm.java
@@ -53,6 +53,9 @@
         try (Fleet fleet = new Fleet(record)) {
             Storm storm = new Storm(record, fleet, Long.parseLong(arguments[1]));
             result = storm.run(Integer.parseInt(arguments[2]));
+        } catch (Exception failure) {
+            record.tell("trial: it couldn't run: %s", failure);
+            result = Fleet.NOT_RUN;
         }
         record.tell("result: %d", result);
         record.close();
