A grantor without its lease renews only on connections that a grant has proved

What callers saw: a grantor that the store turned away granted keys to the next incarnation of a target that had given them up.

Cause: a renewal without the lease must reach the process that has seen the later fencing token. The client took any pooled connection as proof of that. The pool names a connection by the incarnation that the caller expects, so a request opened one to the later incarnation, got 421, and the renewal followed on it.

PlatformGrantClientTest.a_connection_that_a_request_opened_carries_no_call_for_a_proven_one failed on the code before: Done where NotSent is expected.

Change: ProvenConnections are for grants only. One is made, and a grant written to it, only while the lease of the sender's term is confirmed, and kept only if the target took that grant. Nothing else can open or use one, so each that is there leads to a process that a later grantor has to ask or to wait for. GrantClientContract runs the same tests against the simulated and the real client; the simulation had kept the promise that the real client broke.

PlatformGrantClientTest.an_extra_answer_to_a_request_does_not_pass_for_that_to_a_grant asked for one connection, which grants and requests shared. They no longer do, so it asks for two: no answer to a request can arrive on the grant's. That an answer which names a request isn't taken for a grant's, on whatever connection, has a test of its own now.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -236,6 +236,11 @@
         return activeTerm.isPresent() && boundToPresentLease(activeTerm) && leaseConfirmed(now);
     }
 
+    /** Returns how long ago the lease of this host's last term was known to be valid, in milliseconds. */
+    public long termAgeMillis(long now) {
+        return now - ownTermConfirmedAt;
+    }
+
     /**
      * Returns whether this host, as the grantor of the present epoch, may still renew what it granted in its last term of an
      * earlier one.
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
@@ -9,10 +9,13 @@
 
     /** The connection of a grant, which determines which process of the target gets it. */
     enum Connection {
-        /** Any one, or a new one. */
+        /** A proven one, or a new one if the lease is still valid when the grant is written to it. */
         ANY,
-        /** One on which the target has answered before, so that no later incarnation of it gets the call. */
-        ESTABLISHED
+        /**
+         * Only one on which a process of the target took a grant that was sent under a valid lease, so that no later incarnation
+         * gets the call. That this process still knows the fencing tokens of later grantors is why it may get it.
+         */
+        PROVEN
     }
 
     /**
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -293,8 +293,7 @@
         nextRenewalAt.put(assignment, now + settings.renewalIntervalMillis());
         long call = recordCall(new Call(to, assignment, Optional.empty(), Step.DONE, now, lastIncarnation(to)));
         grantsOf(to).callSent();
-        GrantEffect.Connection connection =
-                leaseValid ? GrantEffect.Connection.ANY : GrantEffect.Connection.ESTABLISHED;
+        GrantEffect.Connection connection = leaseValid ? GrantEffect.Connection.ANY : GrantEffect.Connection.PROVEN;
         effects.add(new GrantEffect.Grant(
                 call, to, assignment.range(), fence, settings.holdMillis(), Optional.empty(), connection));
     }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantsAfterRestoreTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantsAfterRestoreTest.java
@@ -96,7 +96,7 @@
 
         /** Guards against keys without owners for longer than needed: their grantor has become the grantor again. */
         @Test
-        void go_on_by_the_table_of_its_own_earlier_term_on_established_connections() {
+        void go_on_by_the_table_of_its_own_earlier_term_on_proven_connections() {
             machine.renewsEarlierEpoch(true);
 
             assertThat(runFor(50))
@@ -107,7 +107,7 @@
                             5,
                             SETTINGS.holdMillis(),
                             Optional.empty(),
-                            GrantEffect.Connection.ESTABLISHED));
+                            GrantEffect.Connection.PROVEN));
         }
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/GatewayProcess.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
@@ -31,6 +30,7 @@
 import org.dragonflymux.gateway.control.GrantClient;
 import org.dragonflymux.gateway.http.ConnectionPool;
 import org.dragonflymux.gateway.http.PollTracker;
+import org.dragonflymux.gateway.http.ProvenConnections;
 import org.dragonflymux.gateway.http.ResponseLimits;
 import org.dragonflymux.gateway.store.CountingStoreClient;
 import org.dragonflymux.gateway.store.RecordDecoder;
@@ -42,6 +42,9 @@
 
     private static final Logger LOG = LogManager.getLogger(GatewayProcess.class);
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
+    /** Responses to grants have no content. */
+    private static final ResponseLimits GRANT_RESPONSE_LIMITS = new ResponseLimits(16 << 10, 1 << 20);
+
     private static final long TICK_MILLIS = 30;
     private static final long CONTROL_TICK_MILLIS = 50;
     /** Intervals while there is no work; each wake-up of an idle host costs processor time. */
@@ -71,6 +74,7 @@
     private final CallerServer callers;
     private final ControlLoop control;
     private final ConnectionPool pool;
+    private final ProvenConnections provenConnections;
     private final StoreUpdates storeUpdates;
     private final UpdateSourceSelector updateSourceSelector;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -81,6 +85,20 @@
     private volatile boolean listening;
     private boolean stopping;
 
+    /** Creates the client for grants to targets. */
+    @FunctionalInterface
+    public interface GrantClientFactory {
+
+        /**
+         * Returns a client.
+         *
+         * @param pool the connections that calls share with requests
+         * @param provenConnections the connections for grants only
+         * @param names the header names
+         */
+        GrantClient create(ConnectionPool pool, ProvenConnections provenConnections, HeaderNames names);
+    }
+
     private GatewayProcess(
             GatewayOptions options,
             EventLoop loop,
@@ -88,7 +106,7 @@
             HeaderNames names,
             RecordDecoder decoder,
             Function<EventLoop, StoreClient> stores,
-            BiFunction<ConnectionPool, HeaderNames, GrantClient> grants) {
+            GrantClientFactory grants) {
         this.options = options;
         this.loop = loop;
         this.pollTracker = pollTracker;
@@ -98,13 +116,14 @@
         this.gateway = Gateway.of(options.gateway(), random::nextLong, options.monotonicStart());
         this.updateSourceSelector = UpdateSourceSelector.of(options.self());
         this.pool = ConnectionPool.on(loop, ResponseLimits.ofHeap(MAX_RESPONSE_BYTES), pollTracker);
+        this.provenConnections = ProvenConnections.on(loop, GRANT_RESPONSE_LIMITS, pollTracker);
         this.requests = new RequestPath(
                 gateway, pool, names, clock, options.callerLimits().targetBodyBytes(), this::limits);
         this.callers =
                 CallerServer.on(loop, requests, this::limits, this::requestTime, pollTracker, options.callerLimits());
         this.control = ControlLoop.of(
                 store,
-                grants.apply(pool, names),
+                grants.create(pool, provenConnections, names),
                 MembershipStateMachine.of(options.self(), options.grants().renewalGraceMillis()),
                 options.grants(),
                 gateway.directory(),
@@ -127,7 +146,7 @@
             HeaderNames names,
             RecordDecoder decoder,
             Function<EventLoop, StoreClient> stores,
-            BiFunction<ConnectionPool, HeaderNames, GrantClient> grants) {
+            GrantClientFactory grants) {
         PollTracker pollTracker = PollTracker.of(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
         NioEventLoopGroup loops = new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), pollTracker);
         // Each iteration runs all due tasks without a time limit, so that callers' disconnects do not queue behind
@@ -180,6 +199,7 @@
         every(COUNTS_LOG_INTERVAL_MILLIS, activityLog::logCounts);
         every(COUNTS_LOG_INTERVAL_MILLIS, callers::logCounts);
         every(TimeUnit.SECONDS.toMillis(1), pool::closeIdle);
+        every(TimeUnit.SECONDS.toMillis(1), provenConnections::closeIdle);
         if (options.firstStart()) {
             warmUp();
         }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -6,10 +6,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflymux.core.balance.TargetDirectory;
+import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.desired.DesiredState;
 import org.dragonflymux.core.desired.ServiceSpec;
 import org.dragonflymux.core.membership.FormerGrantors;
@@ -232,6 +234,9 @@
                 newTerm.map(GrantorTerm::formerGrantors).orElse(FormerGrantors.NONE),
                 tableRevisions());
         term = newTerm;
+        if (newTerm.isEmpty()) {
+            grantClient.termEnded();
+        }
         termKnownSince = holdClock.nowMillis();
         for (GrantStateMachine grantStateMachine : grantStateMachines.values()) {
             grantStateMachine.stopLeading();
@@ -290,10 +295,7 @@
                     directory
                             .lastEntry(grant.target())
                             .ifPresentOrElse(
-                                    target -> grantClient.grant(target, grant, settings.callTimeoutMillis(), result -> {
-                                        logUnlessDone(grant, result);
-                                        callEnded(grantStateMachine, grant.call(), result);
-                                    }),
+                                    target -> sendGrant(grantStateMachine, grant, target),
                                     () -> callEnded(grantStateMachine, grant.call(), new GrantResult.NotSent()));
                 case GrantEffect.Release release ->
                     directory
@@ -308,6 +310,27 @@
         }
     }
 
+    private void sendGrant(GrantStateMachine grantStateMachine, GrantEffect.Grant grant, TargetEntry target) {
+        Optional<GrantorTerm> sender = term;
+        BooleanSupplier termConfirmed = () -> term.equals(sender) && membership.termConfirmed(leaseClock.nowMillis());
+        boolean leaseValid = termConfirmed.getAsBoolean();
+        long sentAt = leaseClock.nowMillis();
+        grantClient.grant(target, grant, settings.callTimeoutMillis(), termConfirmed, result -> {
+            if (!leaseValid || !(result instanceof GrantResult.Done)) {
+                failures.info(
+                        "event={} grant={} incarnation={} term={} leaseValid={} leaseAgeMs={} result={}",
+                        leaseValid ? "grant_failed" : "grant_without_lease",
+                        grant,
+                        target.incarnation(),
+                        sender.map(GrantorTerm::revision).orElse(0L),
+                        leaseValid,
+                        membership.termAgeMillis(sentAt),
+                        result);
+            }
+            callEnded(grantStateMachine, grant.call(), result);
+        });
+    }
+
     private static void logPlacement(GrantStateMachine grantStateMachine) {
         grantStateMachine
                 .takePlan()
@@ -335,12 +358,6 @@
         }
     }
 
-    private void logUnlessDone(GrantEffect.Grant grant, GrantResult result) {
-        if (!(result instanceof GrantResult.Done)) {
-            failures.info("event=grant_failed grant={} result={}", grant, result);
-        }
-    }
-
     private void callEnded(GrantStateMachine grantStateMachine, long call, GrantResult result) {
         // The lease may have ended since the last tick, if this host was suspended.
         grantStateMachine.leaseConfirmed(membership.termConfirmed(leaseClock.nowMillis()));
@@ -373,6 +390,7 @@
     void stop() {
         grantStateMachines.values().forEach(GrantStateMachine::stopLeading);
         term = Optional.empty();
+        grantClient.termEnded();
     }
 
     /** Returns the term in which this host grants keys, if it does. */
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/CallListener.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/CallListener.java
@@ -14,6 +14,15 @@
         return true;
     }
 
+    /**
+     * Returns whether further calls may use the connection on which a response arrived.
+     *
+     * @param response the complete response
+     */
+    default boolean keepsConnection(FullHttpResponse response) {
+        return true;
+    }
+
     /**
      * Handles the complete response. Its buffer is released after the method returns.
      *
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
@@ -27,6 +27,7 @@
     private final ConnectionPool pool;
     private final Endpoint endpoint;
     private final ResponseDecoder decoder;
+    private final long generation;
     private ChannelHandlerContext context;
     private Call call;
     /** The response to the call until all bytes that arrived with it were decoded. */
@@ -43,6 +44,7 @@
         this.pool = pool;
         this.endpoint = endpoint;
         this.decoder = decoder;
+        this.generation = pool.generation();
     }
 
     Endpoint endpoint() {
@@ -119,7 +121,7 @@
         Call answeredCall = call;
         pendingResponse = null;
         call = null;
-        keepOrClose(response);
+        keepOrClose(answeredCall, response);
         if (answeredCall.end()) {
             answeredCall.listener().responseReceived(response);
         }
@@ -135,16 +137,17 @@
         }
     }
 
-    private void keepOrClose(FullHttpResponse response) {
+    private void keepOrClose(Call answeredCall, FullHttpResponse response) {
         boolean inStep = !closing && !outOfStep && !decoder.hasUndecodedBytes();
-        if (!inStep || !HttpUtil.isKeepAlive(response) || !hasFraming(response)) {
+        boolean wanted = answeredCall.listener().keepsConnection(response);
+        if (!inStep || !wanted || !HttpUtil.isKeepAlive(response) || !hasFraming(response)) {
             close();
             return;
         }
         idleTimeoutMillis = advertisedIdleTimeoutMillis(response);
         // The response may arrive before the request is fully written; the connection is reused only after that.
         writing.addListener(done -> {
-            if (done.isSuccess() && !closing) {
+            if (done.isSuccess() && !closing && generation == pool.generation()) {
                 idleSince = ConnectionPool.nowMillis();
                 pool.release(this);
             } else {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -19,8 +19,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
-/** Pool of HTTP connections by endpoint. Idle connections are reused as long as the other side keeps them open. */
+/**
+ * Pool of HTTP connections by endpoint. Idle connections are reused as long as the other side keeps them open. Which process is
+ * there isn't known: see {@link ProvenConnections}.
+ */
 public final class ConnectionPool {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -28,6 +32,8 @@
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    private static final BooleanSupplier ALWAYS = () -> true;
+
     private static final HttpDecoderConfig DECODER_CONFIG = new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEADER_BYTES)
@@ -38,11 +44,13 @@
     private final UnfinishedResponses unfinishedResponses;
     private final PollTracker pollTracker;
     private final Map<Endpoint, Deque<Connection>> idle = new HashMap<>();
+    /** The number of times that all connections were closed. */
+    private long generation;
 
     /**
      * The remote endpoint of a connection.
      *
-     * @param name distinguishes processes that used the same address one after another
+     * @param name distinguishes the processes that are expected at the same address one after another
      * @param address the address it listens on
      */
     public record Endpoint(String name, InetSocketAddress address) {}
@@ -75,42 +83,35 @@
             long timeoutMillis,
             double maxIdleFraction,
             CallListener listener) {
-        Call call = newCall(request, timeoutMillis, listener);
-        pollTracker.whenFresh(loop, call::obsolete, () -> dispatch(endpoint, maxIdleFraction, call));
-        return call;
+        return call(endpoint, request, timeoutMillis, maxIdleFraction, ALWAYS, listener);
     }
 
     /**
-     * Sends a request on a connection that has carried no other request.
+     * Sends a request on an idle connection, or on a new one if that is allowed.
      *
-     * @param timeoutMillis the time after which the call fails, 0 for none
+     * @param mayConnect returns whether a new connection may be used; it is asked again when the request is written to it
      */
-    public Call callOnNewConnection(
-            Endpoint endpoint, FullHttpRequest request, long timeoutMillis, CallListener listener) {
+    Call call(
+            Endpoint endpoint,
+            FullHttpRequest request,
+            long timeoutMillis,
+            double maxIdleFraction,
+            BooleanSupplier mayConnect,
+            CallListener listener) {
         Call call = newCall(request, timeoutMillis, listener);
-        pollTracker.whenFresh(loop, call::obsolete, () -> connect(endpoint, call));
+        pollTracker.whenFresh(loop, call::obsolete, () -> dispatch(endpoint, maxIdleFraction, mayConnect, call));
         return call;
     }
 
     /**
-     * Sends a request on a connection that has carried others before; the call fails as not sent if there is none. The process
-     * that gets the request is the one that has answered these.
+     * Sends a request on a connection that has carried no other request.
+     *
+     * @param timeoutMillis the time after which the call fails, 0 for none
      */
-    public Call callOnEstablishedConnection(
-            Endpoint endpoint,
-            FullHttpRequest request,
-            long timeoutMillis,
-            double maxIdleFraction,
-            CallListener listener) {
+    public Call callOnNewConnection(
+            Endpoint endpoint, FullHttpRequest request, long timeoutMillis, CallListener listener) {
         Call call = newCall(request, timeoutMillis, listener);
-        pollTracker.whenFresh(loop, call::obsolete, () -> {
-            Connection connection = takeIdle(endpoint, maxIdleFraction);
-            if (connection == null) {
-                call.fail(CallFailure.NOT_SENT);
-            } else {
-                connection.send(call);
-            }
-        });
+        pollTracker.whenFresh(loop, call::obsolete, () -> connect(endpoint, ALWAYS, call));
         return call;
     }
 
@@ -122,12 +123,14 @@
         return call;
     }
 
-    private void dispatch(Endpoint endpoint, double maxIdleFraction, Call call) {
+    private void dispatch(Endpoint endpoint, double maxIdleFraction, BooleanSupplier mayConnect, Call call) {
         Connection connection = takeIdle(endpoint, maxIdleFraction);
-        if (connection == null) {
-            connect(endpoint, call);
-        } else {
+        if (connection != null) {
             connection.send(call);
+        } else if (mayConnect.getAsBoolean()) {
+            connect(endpoint, mayConnect, call);
+        } else {
+            call.fail(CallFailure.NOT_SENT);
         }
     }
 
@@ -144,7 +147,7 @@
         return null;
     }
 
-    private void connect(Endpoint endpoint, Call call) {
+    private void connect(Endpoint endpoint, BooleanSupplier mayConnect, Call call) {
         ConnectionInitializer initializer = new ConnectionInitializer(endpoint);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
@@ -160,7 +163,8 @@
         connecting.addListener(done -> {
             if (done.isSuccess()) {
                 // If the call ends in the meantime, it closes the channel.
-                pollTracker.whenFresh(loop, call::obsolete, () -> send(initializer.connection, channel, call));
+                pollTracker.whenFresh(
+                        loop, call::obsolete, () -> sendOnNew(initializer.connection, channel, mayConnect, call));
             } else {
                 call.fail(CallFailure.NOT_SENT);
             }
@@ -193,8 +197,8 @@
         }
     }
 
-    private static void send(Connection connection, Channel channel, Call call) {
-        if (channel.isActive()) {
+    private static void sendOnNew(Connection connection, Channel channel, BooleanSupplier mayConnect, Call call) {
+        if (channel.isActive() && mayConnect.getAsBoolean()) {
             connection.send(call);
         } else {
             call.fail(CallFailure.NOT_SENT);
@@ -210,6 +214,10 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    long generation() {
+        return generation;
+    }
+
     void release(Connection connection) {
         idle.computeIfAbsent(connection.endpoint(), _ -> new ArrayDeque<>()).addLast(connection);
     }
@@ -224,6 +232,12 @@
         }
     }
 
+    /** Closes all connections, those with a call under way as soon as it has ended. */
+    void closeAll() {
+        generation++;
+        idle.values().stream().flatMap(Deque::stream).toList().forEach(Connection::close);
+    }
+
     /** Closes connections that have exceeded their idle timeout. */
     public void closeIdle() {
         for (Deque<Connection> connections : idle.values().stream().toList()) {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/StoreUpdatesTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/StoreUpdatesTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.desired.CustomerSpec;
@@ -113,10 +114,18 @@
     private static final class NoGrants implements GrantClient {
 
         @Override
-        public void grant(TargetEntry to, GrantEffect.Grant grant, long timeout, Consumer<GrantResult> result) {}
+        public void grant(
+                TargetEntry to,
+                GrantEffect.Grant grant,
+                long timeout,
+                BooleanSupplier termConfirmed,
+                Consumer<GrantResult> result) {}
 
         @Override
         public void release(TargetEntry to, GrantEffect.Release release, long timeout, Consumer<GrantResult> result) {}
+
+        @Override
+        public void termEnded() {}
     }
 
     private static final class Ignored implements ControlLoop.Listener {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.dragonflymux.core.balance.TargetDirectory;
 import org.dragonflymux.core.balance.TargetEntry;
@@ -96,7 +97,12 @@
     private final class Grants implements GrantClient {
 
         @Override
-        public void grant(TargetEntry to, GrantEffect.Grant grant, long timeout, Consumer<GrantResult> result) {
+        public void grant(
+                TargetEntry to,
+                GrantEffect.Grant grant,
+                long timeout,
+                BooleanSupplier termConfirmed,
+                Consumer<GrantResult> result) {
             grants.add(grant);
             grantResults.add(result);
         }
@@ -105,6 +111,9 @@
         public void release(TargetEntry to, GrantEffect.Release release, long timeout, Consumer<GrantResult> result) {
             releases.add(release);
         }
+
+        @Override
+        public void termEnded() {}
     }
 
     private final class Tables implements ControlLoop.Listener {
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedHost.java
@@ -6,10 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.dragonflymux.core.balance.TargetDirectory;
-import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.desired.DesiredState;
 import org.dragonflymux.core.desired.RequestLimits;
 import org.dragonflymux.core.desired.ServiceSpec;
@@ -18,15 +16,11 @@
 import org.dragonflymux.core.name.FailureDomain;
 import org.dragonflymux.core.name.HostId;
 import org.dragonflymux.core.name.ServiceName;
-import org.dragonflymux.core.name.TargetId;
 import org.dragonflymux.core.quota.LenderPartition;
-import org.dragonflymux.core.shard.GrantEffect;
-import org.dragonflymux.core.shard.GrantResult;
 import org.dragonflymux.core.shard.GrantSettings;
 import org.dragonflymux.core.shard.ShardTable;
 import org.dragonflymux.gateway.clock.HostClock;
 import org.dragonflymux.gateway.control.ControlLoop;
-import org.dragonflymux.gateway.control.GrantClient;
 import org.dragonflymux.gateway.control.simulation.SimulatedStore.Snapshot;
 
 /** A host with a real control loop, whose calls and updates take their way through the simulation. */
@@ -68,7 +62,7 @@
                     new FleetMember(HostId.of(name), time.now() + 1, FailureDomain.of("a"), "127.0.0.1:7100");
             control = ControlLoop.of(
                     store.clientOf(name, this::deliver),
-                    new Grants(),
+                    new SimulatedGrantClient(name, targets, this::deliver),
                     MembershipStateMachine.of(self, settings.renewalGraceMillis()),
                     settings,
                     directory,
@@ -148,27 +142,6 @@
 
         @Override
         public void leaseUpdated(long lease, long until) {}
-
-        /** Calls to targets; the results of calls that this incarnation made are lost when it ends. */
-        private final class Grants implements GrantClient {
-
-            private final Map<TargetId, Long> establishedWith = new HashMap<>();
-
-            @Override
-            public void grant(TargetEntry to, GrantEffect.Grant grant, long timeout, Consumer<GrantResult> result) {
-                targets.grant(name, to, grant, timeout, establishedWith, delivered(result));
-            }
-
-            @Override
-            public void release(
-                    TargetEntry to, GrantEffect.Release release, long timeout, Consumer<GrantResult> result) {
-                targets.release(name, to, release, timeout, delivered(result));
-            }
-
-            private Consumer<GrantResult> delivered(Consumer<GrantResult> result) {
-                return outcome -> deliver(() -> result.accept(outcome));
-            }
-        }
     }
 
     SimulatedHost(
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedTargets.java
@@ -5,12 +5,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import java.util.function.LongPredicate;
+import java.util.stream.IntStream;
 import org.dragonflymux.core.balance.TargetEntry;
 import org.dragonflymux.core.name.ServiceName;
 import org.dragonflymux.core.name.TargetId;
@@ -24,6 +25,8 @@
     private static final long SAMPLE_MILLIS = 25;
     private static final int MAX_LATE_MILLIS = 4_000;
     private static final int MAX_WORK_MILLIS = 150;
+    /** Stands for a process that is no incarnation of the target. */
+    private static final long NO_INCARNATION = -1;
 
     private final VirtualTime time;
     private final SimulatedStore store;
@@ -46,11 +49,23 @@
     }
 
     SimulatedTargets(int count, ServiceName service, VirtualTime time, SimulatedStore store, SplittableRandom random) {
+        this(
+                IntStream.range(0, count)
+                        .mapToObj(i -> TargetId.of("target-" + i))
+                        .toList(),
+                service,
+                time,
+                store,
+                random);
+    }
+
+    SimulatedTargets(
+            List<TargetId> ids, ServiceName service, VirtualTime time, SimulatedStore store, SplittableRandom random) {
         this.time = time;
         this.store = store;
         this.random = random;
-        for (int i = 0; i < count; i++) {
-            SimulatedTarget target = new SimulatedTarget(TargetId.of("target-" + i), service);
+        for (TargetId id : ids) {
+            SimulatedTarget target = new SimulatedTarget(id, service);
             targets.add(target);
             start(target);
         }
@@ -122,28 +137,27 @@
                 .orElseThrow();
     }
 
+    /** Returns whether an incarnation of a target is running, so that its connections are there. */
+    boolean runs(TargetId id, long incarnation) {
+        SimulatedTarget target = target(id);
+        return target.up() && target.incarnation() == incarnation;
+    }
+
     /**
      * Sends a grant.
      *
      * @param sender the name of the host that sends it
-     * @param establishedWith the incarnations of targets that have a connection with the sender; it is updated
+     * @param written returns whether the grant is written to a connection to an incarnation of the target
      */
     void grant(
             String sender,
             TargetEntry to,
             GrantEffect.Grant grant,
             long timeoutMillis,
-            Map<TargetId, Long> establishedWith,
+            LongPredicate written,
             Consumer<GrantResult> result) {
-        TargetId id = to.id();
-        LongFunction<GrantResult> action = arrivedAt -> take(sender, target(id), grant, arrivedAt);
-        arrive(sender, to, timeoutMillis, result, target -> {
-            if (grant.connection() == GrantEffect.Connection.ESTABLISHED
-                    && !Objects.equals(establishedWith.get(id), target.incarnation())) {
-                answer(new GrantResult.NotSent(), 0, result);
-                return;
-            }
-            establishedWith.put(id, target.incarnation());
+        LongFunction<GrantResult> action = arrivedAt -> take(sender, target(to.id()), grant, arrivedAt);
+        arrive(sender, to, timeoutMillis, written, result, target -> {
             if (random.nextDouble() >= lateShare) {
                 answer(action.apply(time.now()), 0, result);
                 return;
@@ -153,7 +167,7 @@
             int lateMillis = random.nextInt(MAX_LATE_MILLIS);
             lastLateGrantAt = Math.max(lastLateGrantAt, arrivedAt + lateMillis);
             time.after(lateMillis, () -> {
-                if (target.up() && target.incarnation() == incarnation) {
+                if (runs(to.id(), incarnation)) {
                     action.apply(arrivedAt);
                 }
             });
@@ -179,7 +193,7 @@
             GrantEffect.Release release,
             long timeoutMillis,
             Consumer<GrantResult> result) {
-        arrive(sender, to, timeoutMillis, result, target -> {
+        arrive(sender, to, timeoutMillis, _ -> true, result, target -> {
             int workMillis = random.nextInt(MAX_WORK_MILLIS);
             long endsAt = target.release(release.range(), release.fence(), time.now(), workMillis);
             GrantResult outcome = new GrantResult.Done(Optional.of("handover-" + to.id() + "-" + release.fence()));
@@ -190,12 +204,13 @@
 
     /**
      * Delivers a call to the incarnation that runs when it arrives, or to the process that has the address in its place; with none,
-     * the connection is refused.
+     * the connection is refused. The connection is there before the call is written to it.
      */
     private void arrive(
             String sender,
             TargetEntry to,
             long timeoutMillis,
+            LongPredicate written,
             Consumer<GrantResult> result,
             Consumer<SimulatedTarget> action) {
         Path path = new Path(sender, to.id());
@@ -204,8 +219,9 @@
             if (cutOff.contains(path.target()) || cutPaths.contains(path)) {
                 time.after(timeoutMillis, () -> result.accept(new GrantResult.Unknown()));
             } else if (addressReused(to)) {
-                answer(new GrantResult.TargetEnded(), 0, result);
-            } else if (target.up()) {
+                boolean answered = written.test(NO_INCARNATION);
+                answer(answered ? new GrantResult.TargetEnded() : new GrantResult.NotSent(), 0, result);
+            } else if (target.up() && written.test(target.incarnation())) {
                 action.accept(target);
             } else {
                 answer(new GrantResult.NotSent(), 0, result);
