A lease is valid for no longer than the store has given it

What callers could have seen: if the store gave a lease for less than was asked, the grantor would take it for valid after its end, and move keys beside its successor.

Cause: the client read only the id from the answer to a lease call, and the membership counted the duration that it had asked for.

Change: the result of a lease call carries the duration; the shorter of the stated and the asked one holds, and the renewals follow from it. For leases given as asked for, the intervals are what they were (1 s and 4 s).

Evidence: with the asked duration put back, a_lease_is_valid_for_no_longer_than_the_store_has_given_it and a_lease_that_the_store_gives_for_less_is_renewed_in_time fail (trial).

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -22,8 +22,8 @@
     public static final long LONG_LEASE_MILLIS = 10_000;
 
     private static final long CLOCK_MARGIN_MILLIS = 100;
-    private static final long RENEWAL_INTERVAL_MILLIS = 1_000;
-    private static final long LONG_RENEWAL_INTERVAL_MILLIS = 4_000;
+    /** The second renewal after one that got no answer still arrives before the lease ends. */
+    private static final double RENEWALS_PER_LEASE = 2.5;
     /** How long a host keeps its short lease after it had or sought a role. */
     private static final long SHORT_LEASE_MILLIS_AFTER_ROLE = 5_000;
 
@@ -44,7 +44,11 @@
     private final long renewalGraceMillis;
     private final Map<HostId, FleetMember> members = new HashMap<>();
     private long lease;
+    /** The validity that was asked for with the present lease. */
+    private long askedLeaseMillis = LEASE_MILLIS;
+    /** The validity of the present lease, which is less if the store has given less. */
     private long leaseMillis = LEASE_MILLIS;
+
     private long requestedLeaseMillis = LEASE_MILLIS;
     private long registeredLease;
     private long writingLease;
@@ -162,10 +166,15 @@
         lastGrantorRevision = revision;
     }
 
-    /** Records a new lease. It starts no earlier than the call was sent, so its validity is counted from that time. */
-    public void leaseObtained(long newLease, long sentAt) {
+    /**
+     * Records a new lease. It starts no earlier than the call was sent, so its validity is counted from that time.
+     *
+     * @param givenMillis its validity by the store, in milliseconds; what was asked for holds if that is less
+     */
+    public void leaseObtained(long newLease, long givenMillis, long sentAt) {
         lease = newLease;
-        leaseMillis = requestedLeaseMillis;
+        askedLeaseMillis = requestedLeaseMillis;
+        leaseMillis = Math.min(requestedLeaseMillis, givenMillis);
         confirmedAt = sentAt;
         leaseRenewed(sentAt);
     }
@@ -177,7 +186,11 @@
         if (boundToPresentLease(ownTerm)) {
             ownTermConfirmedAt = confirmedAt;
         }
-        nextLeaseCallAt = sentAt + (hasShortLease() ? RENEWAL_INTERVAL_MILLIS : LONG_RENEWAL_INTERVAL_MILLIS);
+        nextLeaseCallAt = sentAt + renewalIntervalMillis();
+    }
+
+    private long renewalIntervalMillis() {
+        return (long) (leaseMillis / RENEWALS_PER_LEASE);
     }
 
     /** Records that the lease has ended in the store. */
@@ -188,7 +201,7 @@
 
     /** Records that a call to obtain or renew the lease failed. */
     public void leaseCallFailed(long now) {
-        requestedLeaseMillis = leaseMillis;
+        requestedLeaseMillis = askedLeaseMillis;
         nextLeaseCallAt = now + (RETRY_DELAY_MILLIS << Math.min(failedLeaseCalls, MAX_RETRY_DOUBLINGS));
         failedLeaseCalls++;
     }
@@ -205,7 +218,7 @@
 
     /** Returns whether this host's lease is short, as the lease that a role is bound to must be. */
     public boolean hasShortLease() {
-        return leaseMillis == LEASE_MILLIS;
+        return askedLeaseMillis == LEASE_MILLIS;
     }
 
     private boolean needsShortLease(long now) {
@@ -311,7 +324,7 @@
             requestedLeaseMillis = needsShortLease(now) ? LEASE_MILLIS : LONG_LEASE_MILLIS;
             effects.add(new MembershipEffect.ObtainLease(requestedLeaseMillis));
         } else {
-            nextLeaseCallAt = now + RENEWAL_REPEAT_MILLIS;
+            nextLeaseCallAt = now + Math.min(RENEWAL_REPEAT_MILLIS, renewalIntervalMillis());
             effects.add(new MembershipEffect.RenewLease(lease));
         }
     }
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorAfterRestoreTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/GrantorAfterRestoreTest.java
@@ -148,7 +148,7 @@
         @BeforeEach
         void leadInEpochOne() {
             machine.epochSeen(1, now);
-            machine.leaseObtained(LEASE, now);
+            machine.leaseObtained(LEASE, MembershipStateMachine.LONG_LEASE_MILLIS, now);
             machine.memberRegistered(self);
             machine.synced(now);
             machine.grantorChanged(Optional.of(term(self, REVISION, FormerGrantors.NONE, false)), REVISION, now);
@@ -189,7 +189,7 @@
             machine.epochSeen(2, now);
             machine.grantorChanged(Optional.empty(), RESTORED_REVISION, now);
             machine.leaseEnded();
-            machine.leaseObtained(StoreEpoch.qualify(2, 7), now);
+            machine.leaseObtained(StoreEpoch.qualify(2, 7), MembershipStateMachine.LONG_LEASE_MILLIS, now);
             machine.tick(now);
 
             assertThat(machine.activeTerm()).isPresent();
@@ -209,7 +209,7 @@
         void of_the_earlier_grantor_comes_before_the_claims_of_others() {
             MembershipStateMachine follower = MembershipStateMachine.of(other, GRACE_MILLIS);
             follower.epochSeen(1, now);
-            follower.leaseObtained(LEASE, now);
+            follower.leaseObtained(LEASE, MembershipStateMachine.LONG_LEASE_MILLIS, now);
             follower.memberRegistered(other);
             follower.synced(now);
             follower.epochSeen(2, now);
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/membership/MembershipStateMachineTest.java
@@ -14,6 +14,8 @@
 class MembershipStateMachineTest {
 
     private static final long RENEWAL_GRACE_MILLIS = 10_000;
+    /** The validity of leases by a store that gives at least what is asked for. */
+    private static final long GIVEN_MILLIS = MembershipStateMachine.LONG_LEASE_MILLIS;
 
     private final FleetMember self = member("b", 1);
     private final MembershipStateMachine machine = MembershipStateMachine.of(self, RENEWAL_GRACE_MILLIS);
@@ -40,7 +42,7 @@
     }
 
     private void register() {
-        machine.leaseObtained(7, now);
+        machine.leaseObtained(7, GIVEN_MILLIS, now);
         machine.memberRegistered(self);
     }
 
@@ -48,7 +50,7 @@
     void obtains_a_lease_first_and_registers_after_the_store_has_been_read() {
         assertThat(machine.tick(now))
                 .containsExactly(new MembershipEffect.ObtainLease(MembershipStateMachine.LEASE_MILLIS));
-        machine.leaseObtained(7, now);
+        machine.leaseObtained(7, GIVEN_MILLIS, now);
         assertThat(machine.tick(now)).isEmpty();
         machine.synced(now);
 
@@ -57,7 +59,7 @@
 
     @Test
     void renews_the_lease_and_counts_its_validity_from_the_sending_of_the_call() {
-        machine.leaseObtained(7, now);
+        machine.leaseObtained(7, GIVEN_MILLIS, now);
         now += 1_000;
 
         assertThat(machine.tick(now)).contains(new MembershipEffect.RenewLease(7));
@@ -71,7 +73,7 @@
     /** Guards against losing the lease, and the roles that depend on it, because of one lost answer. */
     @Test
     void repeats_an_unanswered_renewal_in_time_for_its_answer_to_arrive_before_the_lease_ends() {
-        machine.leaseObtained(7, now);
+        machine.leaseObtained(7, GIVEN_MILLIS, now);
         long latestUsefulCall = now + MembershipStateMachine.LEASE_MILLIS - 500;
         int renewals = 0;
         for (; now <= latestUsefulCall; now += 50) {
@@ -109,7 +111,7 @@
             machine.grantorChanged(term(member("a", 1), 70, 3), 3, now);
             machine.synced(now);
             assertThat(runFor(1_100)).contains(obtainLong);
-            machine.leaseObtained(8, now);
+            machine.leaseObtained(8, GIVEN_MILLIS, now);
             assertThat(machine.tick(now)).contains(new MembershipEffect.Register(8, self));
             machine.writeEnded(true, now);
         }
@@ -147,7 +149,7 @@
             assertThat(effects).contains(obtainShort);
             assertThat(containsClaim(effects)).isFalse();
 
-            machine.leaseObtained(9, now);
+            machine.leaseObtained(9, GIVEN_MILLIS, now);
             assertThat(machine.tick(now)).contains(new MembershipEffect.Register(9, self));
             machine.writeEnded(true, now);
 
@@ -294,7 +296,7 @@
             machine.leaseEnded();
             now += RENEWAL_GRACE_MILLIS;
             machine.tick(now);
-            machine.leaseObtained(8, now);
+            machine.leaseObtained(8, GIVEN_MILLIS, now);
 
             assertThat(runFor(1_000)).noneMatch(MembershipEffect.GrantorRoleChanged.class::isInstance);
             assertThat(machine.termConfirmed(now)).isFalse();
@@ -304,7 +306,7 @@
         void lasts_for_the_renewal_grace_period_beside_another_lease_that_changes_no_table() {
             elected(Optional.empty());
             machine.leaseEnded();
-            machine.leaseObtained(8, now);
+            machine.leaseObtained(8, GIVEN_MILLIS, now);
 
             assertThat(runFor(1_000)).noneMatch(MembershipEffect.GrantorRoleChanged.class::isInstance);
             assertThat(machine.leaseConfirmed(now)).isTrue();
@@ -316,7 +318,7 @@
         void begins_anew_with_each_term() {
             elected(Optional.empty());
             machine.leaseEnded();
-            machine.leaseObtained(8, now);
+            machine.leaseObtained(8, GIVEN_MILLIS, now);
             machine.grantorChanged(term(self, 8, 9), 9, now);
 
             assertThat(machine.tick(now)).contains(new MembershipEffect.GrantorRoleChanged(term(self, 8, 9)));
@@ -337,10 +339,44 @@
     /** Guards against a lease that counts as valid for longer, since the earlier one was confirmed later. */
     @Test
     void a_new_lease_is_valid_from_the_sending_of_its_own_call() {
-        machine.leaseObtained(7, now);
-        machine.leaseObtained(8, now - 1_000);
+        machine.leaseObtained(7, GIVEN_MILLIS, now);
+        machine.leaseObtained(8, GIVEN_MILLIS, now - 1_000);
 
         assertThat(machine.leaseConfirmed(now + MembershipStateMachine.LEASE_MILLIS - 1_000))
                 .isFalse();
     }
+
+    /** Guards against a grantor that acts on a lease that has ended: a store may give a lease for less than was asked for. */
+    @Test
+    void a_lease_is_valid_for_no_longer_than_the_store_has_given_it() {
+        machine.leaseObtained(7, 1_000, now);
+
+        assertThat(machine.leaseConfirmed(now + 999)).isTrue();
+        assertThat(machine.leaseConfirmed(now + 1_000)).isFalse();
+    }
+
+    @Test
+    void a_lease_that_the_store_gives_for_less_is_renewed_in_time() {
+        machine.leaseObtained(7, 1_000, now);
+        int unanswered = 0;
+        for (long end = now + 900; now < end; now += 50) {
+            unanswered += machine.tick(now).contains(new MembershipEffect.RenewLease(7)) ? 1 : 0;
+        }
+
+        assertThat(unanswered).isEqualTo(2);
+    }
+
+    /** Guards against a host without a role that asks for a long lease again and again. */
+    @Test
+    void a_long_lease_that_the_store_gives_for_less_is_not_asked_for_again() {
+        register();
+        machine.grantorChanged(term(member("a", 1), 70, 3), 3, now);
+        machine.synced(now);
+        runFor(1_100);
+        machine.leaseObtained(8, 2_000, now);
+        machine.tick(now);
+        machine.writeEnded(true, now);
+
+        assertThat(runFor(1_900)).noneMatch(MembershipEffect.ObtainLease.class::isInstance);
+    }
 }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/ControlLoop.java
@@ -228,7 +228,7 @@
             case MembershipEffect.ObtainLease obtain ->
                 store.obtainLease(obtain.millis(), result -> {
                     if (result.isRight()) {
-                        membership.leaseObtained(result.get(), now);
+                        membership.leaseObtained(result.get().id(), result.get().millis(), now);
                     } else {
                         membership.leaseCallFailed(leaseClock.nowMillis());
                     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/CountingStoreClient.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/CountingStoreClient.java
@@ -90,7 +90,7 @@
     }
 
     @Override
-    public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
+    public void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result) {
         delegate.obtainLease(millis, counted(LEASE, result));
     }
 
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreClient.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/store/StoreClient.java
@@ -45,6 +45,14 @@
      */
     record Put(String key, byte[] value, long lease) {}
 
+    /**
+     * A lease that was obtained.
+     *
+     * @param id its id
+     * @param millis for how long it is valid after each renewal, in milliseconds
+     */
+    record Lease(long id, long millis) {}
+
     /** Returns the highest epoch of the store that an answer has stated, 0 if none has. */
     default long epoch() {
         return 0;
@@ -59,8 +67,8 @@
     /** Writes all values if all preconditions are met; the result is the new revision. */
     void commit(List<ExpectedRevision> expected, List<Put> puts, Consumer<Either<StoreError, Long>> result);
 
-    /** Obtains a lease of the given duration; the result is its id. */
-    void obtainLease(long millis, Consumer<Either<StoreError, Long>> result);
+    /** Obtains a lease. The store may give it for another duration than the one that is asked for, in milliseconds. */
+    void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result);
 
     void renewLease(long lease, Consumer<Either<StoreError, Long>> result);
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/StoreUpdatesTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/StoreUpdatesTest.java
@@ -102,7 +102,7 @@
                 List<ExpectedRevision> expected, List<Put> puts, Consumer<Either<StoreError, Long>> result) {}
 
         @Override
-        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {}
+        public void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result) {}
 
         @Override
         public void renewLease(long lease, Consumer<Either<StoreError, Long>> result) {}
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopAfterRestoreTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopAfterRestoreTest.java
@@ -103,8 +103,8 @@
         }
 
         @Override
-        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
-            result.accept(Either.right(lease()));
+        public void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result) {
+            result.accept(Either.right(new Lease(lease(), millis)));
         }
 
         @Override
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/ControlLoopTest.java
@@ -81,8 +81,8 @@
         }
 
         @Override
-        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
-            result.accept(Either.right(LEASE));
+        public void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result) {
+            result.accept(Either.right(new Lease(LEASE, millis)));
         }
 
         @Override
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/control/simulation/SimulatedStore.java
@@ -478,8 +478,8 @@
         }
 
         @Override
-        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
-            call(false, () -> obtain(millis), result);
+        public void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result) {
+            call(false, () -> obtain(millis), lease -> result.accept(lease.map(id -> new Lease(id, millis))));
         }
 
         @Override
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/FaultyRelayTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/FaultyRelayTest.java
@@ -68,7 +68,7 @@
         }
 
         @Override
-        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
+        public void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result) {
             throw new UnsupportedOperationException();
         }
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorEpochTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorEpochTest.java
@@ -88,7 +88,7 @@
         }
 
         @Override
-        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
+        public void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result) {
             throw new UnsupportedOperationException();
         }
 
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/store/StoreMirrorTest.java
@@ -112,7 +112,7 @@
         }
 
         @Override
-        public void obtainLease(long millis, Consumer<Either<StoreError, Long>> result) {
+        public void obtainLease(long millis, Consumer<Either<StoreError, Lease>> result) {
             throw new UnsupportedOperationException();
         }
 
