A pause that a target asks for goes on for its next incarnation

What callers could have seen: a target restarts under its id and answers 503 with Retry-After before a host has its new entry; the host goes on sending within the pause (BUDGET).

Cause: what an answer says was recorded for the incarnation that the request was sent to, though the answer may be of a later one. The arrival of the new entry ended the pause, and an answer after it was dropped.

Change: the state of a new incarnation takes over the pause, and a pause counts for the present incarnation whichever the request was sent to.

Evidence: TargetSignalsTest.PausedTargets.stay_paused_when_the_entry_of_a_new_incarnation_arrives and are_paused_by_the_answer_to_a_request_that_was_sent_to_their_previous_incarnation failed on the code before (a request was sent where a refusal is expected) and pass now, as do the tests of gateway, balance and shard.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetDirectory.java
@@ -37,7 +37,7 @@
 
     /**
      * Replaces the entries. A target keeps its state until it has a new incarnation, also while its entry is missing: what
-     * it said about itself remains true if an old update brings the entry back.
+     * it said about itself remains true if an old update brings the entry back. A pause outlives the incarnation.
      */
     public void replace(Collection<TargetEntry> entries, long now) {
         removedTargets.values().removeIf(removed -> now - removed.removedAt() > REMOVED_RETENTION_MILLIS);
@@ -64,8 +64,10 @@
 
     private void put(TargetEntry entry, long now) {
         TargetState existing = knownState(entry.id());
-        if (existing == null || existing.entry().incarnation() != entry.incarnation()) {
+        if (existing == null) {
             existing = TargetState.of(entry, now);
+        } else if (existing.entry().incarnation() != entry.incarnation()) {
+            existing = TargetState.ofNextIncarnation(existing, entry, now);
         } else if (!existing.entry().equals(entry)) {
             existing.update(entry, now);
         }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/balance/TargetState.java
@@ -73,6 +73,19 @@
         return new TargetState(entry, now);
     }
 
+    /**
+     * Creates the state of a new incarnation. A pause goes on, since it may be the new incarnation that asked for it, before its entry
+     * was known.
+     *
+     * @param previous the state of the incarnation that was known before
+     */
+    static TargetState ofNextIncarnation(TargetState previous, TargetEntry entry, long now) {
+        TargetState next = of(entry, now);
+        next.pausedUntil = previous.pausedUntil;
+        next.resuming = now < previous.pausedUntil;
+        return next;
+    }
+
     public int nameHash() {
         return nameHash;
     }
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/gateway/Gateway.java
@@ -510,18 +510,22 @@
                 resent));
     }
 
-    /** Records what an incarnation of a target said about itself in an answer. */
-    public void signalsReceived(TargetEntry from, TargetSignals signals, long now) {
-        directory
-                .target(from.id())
-                .filter(target -> target.entry().incarnation() == from.incarnation())
-                .ifPresent(target -> {
-                    signals.load().ifPresent(load -> target.slowdownReported(load.slowdownPercent(), now));
-                    signals.pauseMillis().ifPresent(millis -> target.pause(millis, now));
-                    if (signals.leaving()) {
-                        target.markLeaving(now);
-                    }
-                });
+    /**
+     * Records what a target said about itself in an answer. The incarnation that the request was sent to may have ended before, and a
+     * later one have answered; therefore a pause counts for both.
+     *
+     * @param sentTo the entry by which the request was sent
+     */
+    public void signalsReceived(TargetEntry sentTo, TargetSignals signals, long now) {
+        directory.target(sentTo.id()).ifPresent(target -> {
+            signals.pauseMillis().ifPresent(millis -> target.pause(millis, now));
+            if (target.entry().incarnation() == sentTo.incarnation()) {
+                signals.load().ifPresent(load -> target.slowdownReported(load.slowdownPercent(), now));
+                if (signals.leaving()) {
+                    target.markLeaving(now);
+                }
+            }
+        });
     }
 
     /**
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/TargetSignalsTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/gateway/TargetSignalsTest.java
@@ -265,6 +265,30 @@
 
             assertThat(refusal(arrive("/read/x")).reason().outcome()).isEqualTo(RefusalReason.Outcome.NOT_RUN);
         }
+
+        /**
+         * Guards against requests within a pause: a restarted target answers at the address of its previous incarnation before its
+         * entry arrives, and an answer doesn't say which incarnation it is from.
+         */
+        @Test
+        void stay_paused_when_the_entry_of_a_new_incarnation_arrives() {
+            gateway.signalsReceived(FIRST, PAUSE, now);
+            registered(entry("p1", POOLED, 2), OWNER);
+            assertThat(refusal(arrive("/read/x")).reason().outcome()).isEqualTo(RefusalReason.Outcome.NOT_RUN);
+
+            now += PAUSE_MILLIS;
+
+            assertThat(targetsOfRequests("/read/x", 1)).containsExactly(FIRST.id());
+        }
+
+        /** The same, for a request that was sent before the entry of the new incarnation arrived and answered after it. */
+        @Test
+        void are_paused_by_the_answer_to_a_request_that_was_sent_to_their_previous_incarnation() {
+            registered(entry("p1", POOLED, 2), OWNER);
+            gateway.signalsReceived(FIRST, PAUSE, now);
+
+            assertThat(refusal(arrive("/read/x")).reason().outcome()).isEqualTo(RefusalReason.Outcome.NOT_RUN);
+        }
     }
 
     /** Guards against refusing all requests for the keys of an owner that runs half of them and turns away the others. */
