Proven connections outlive targets that close connections

Cause: without the lease no new connection may be made, and the proof ended with the connection.

Under a valid lease, a target that ends its last proven connection with its answer is sent a further renewal at once.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantResult.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantResult.java
@@ -9,8 +9,15 @@
      * The target carried out the call.
      *
      * @param handover the handover token that the target returned, if any
+     * @param proofLost whether the target ended the last proven connection with its answer, so that without a valid lease no grant
+     *     can be sent to it any longer
      */
-    record Done(Optional<String> handover) implements GrantResult {}
+    record Done(Optional<String> handover, boolean proofLost) implements GrantResult {
+
+        public Done(Optional<String> handover) {
+            this(handover, false);
+        }
+    }
 
     /** The target refused the call because it has seen a higher fencing token. */
     record Fenced() implements GrantResult {}
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantStateMachine.java
@@ -454,7 +454,7 @@
         }
         Optional<MoveProgress> current = Optional.ofNullable(moves.get(call.assignment));
         if (call.progress.isEmpty()) {
-            if (!(result instanceof GrantResult.Done)) {
+            if (!(result instanceof GrantResult.Done done) || done.proofLost()) {
                 nextRenewalAt.remove(call.assignment);
             }
         } else if (call.progress.equals(current) && call.progress.get().step() == call.step) {
--- a/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
+++ b/dragonflymux-core/src/test/java/org/dragonflymux/core/shard/GrantStateMachineTest.java
@@ -109,6 +109,21 @@
             assertThat(of(GrantEffect.Grant.class, machine.tick(false, now))).hasSize(1);
         }
 
+        /**
+         * Guards against keys without an owner while the store is away for all hosts: their target had closed the connection of its
+         * grants shortly before, and a new one needs a valid lease.
+         */
+        @Test
+        void is_repeated_at_once_if_the_target_closed_the_last_proven_connection() {
+            GrantEffect.Grant first = of(GrantEffect.Grant.class, tick()).getFirst();
+            machine.callEnded(first.call(), new GrantResult.Done(Optional.empty(), true), now);
+            List<GrantEffect.Grant> again = of(GrantEffect.Grant.class, tick());
+            assertThat(again).hasSize(1);
+            machine.callEnded(again.getFirst().call(), new GrantResult.Done(Optional.empty()), now);
+
+            assertThat(of(GrantEffect.Grant.class, tick())).isEmpty();
+        }
+
         /** A host that had just started sent 671 grants at once and did not answer other calls for two seconds. */
         @Test
         void of_many_assignments_is_sent_in_small_batches_and_covers_all_before_their_holds_end() {
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/Connection.java
@@ -51,6 +51,20 @@
         return endpoint;
     }
 
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
+    /** Hands the connection to its pool as an idle one, or closes it if it is of no further use. */
+    void becomeIdle() {
+        if (closing || !context.channel().isActive() || generation != pool.generation()) {
+            close();
+            return;
+        }
+        idleSince = ConnectionPool.nowMillis();
+        pool.release(this);
+    }
+
     boolean usable(double maxIdleFraction) {
         return !closing
                 && !decoder.hasUndecodedBytes()
@@ -147,9 +161,8 @@
         idleTimeoutMillis = advertisedIdleTimeoutMillis(response);
         // The response may arrive before the request is fully written; the connection is reused only after that.
         writing.addListener(done -> {
-            if (done.isSuccess() && !closing && generation == pool.generation()) {
-                idleSince = ConnectionPool.nowMillis();
-                pool.release(this);
+            if (done.isSuccess()) {
+                becomeIdle();
             } else {
                 close();
             }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ConnectionPool.java
@@ -83,23 +83,8 @@
             long timeoutMillis,
             double maxIdleFraction,
             CallListener listener) {
-        return call(endpoint, request, timeoutMillis, maxIdleFraction, ALWAYS, listener);
-    }
-
-    /**
-     * Sends a request on an idle connection, or on a new one if that is allowed.
-     *
-     * @param mayConnect returns whether a new connection may be used; it is asked again when the request is written to it
-     */
-    Call call(
-            Endpoint endpoint,
-            FullHttpRequest request,
-            long timeoutMillis,
-            double maxIdleFraction,
-            BooleanSupplier mayConnect,
-            CallListener listener) {
         Call call = newCall(request, timeoutMillis, listener);
-        pollTracker.whenFresh(loop, call::obsolete, () -> dispatch(endpoint, maxIdleFraction, mayConnect, call));
+        pollTracker.whenFresh(loop, call::obsolete, () -> dispatch(endpoint, maxIdleFraction, call));
         return call;
     }
 
@@ -115,7 +100,7 @@
         return call;
     }
 
-    private Call newCall(FullHttpRequest request, long timeoutMillis, CallListener listener) {
+    Call newCall(FullHttpRequest request, long timeoutMillis, CallListener listener) {
         Call call = new Call(request, listener);
         if (timeoutMillis > 0) {
             call.timeout(loop.schedule(() -> call.fail(CallFailure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS));
@@ -123,18 +108,23 @@
         return call;
     }
 
-    private void dispatch(Endpoint endpoint, double maxIdleFraction, BooleanSupplier mayConnect, Call call) {
+    private void dispatch(Endpoint endpoint, double maxIdleFraction, Call call) {
         Connection connection = takeIdle(endpoint, maxIdleFraction);
-        if (connection != null) {
-            connection.send(call);
-        } else if (mayConnect.getAsBoolean()) {
-            connect(endpoint, mayConnect, call);
+        if (connection == null) {
+            connect(endpoint, ALWAYS, call);
         } else {
-            call.fail(CallFailure.NOT_SENT);
+            connection.send(call);
         }
     }
 
-    private Connection takeIdle(Endpoint endpoint, double maxIdleFraction) {
+    /** Returns whether a connection is idle of whose idle timeout no more than the given fraction has passed. */
+    boolean hasIdle(Endpoint endpoint, double maxIdleFraction) {
+        return idle.containsKey(endpoint)
+                && idle.get(endpoint).stream().anyMatch(connection -> connection.usable(maxIdleFraction));
+    }
+
+    /** Returns an idle connection, which is no longer one of the pool's, or null if there is none. */
+    Connection takeIdle(Endpoint endpoint, double maxIdleFraction) {
         Deque<Connection> connections = idle.get(endpoint);
         while (connections != null && !connections.isEmpty()) {
             Connection connection = connections.pollLast();
@@ -147,58 +137,58 @@
         return null;
     }
 
-    private void connect(Endpoint endpoint, BooleanSupplier mayConnect, Call call) {
-        ConnectionInitializer initializer = new ConnectionInitializer(endpoint);
-        ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                // Shows the end of the peer's side as an event of its own, unlike the loss of the connection.
-                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(initializer)
-                .connect(endpoint.address());
+    /**
+     * Sends a call on a new connection.
+     *
+     * @param maySend returns whether the call may be written, now that the connection is there
+     */
+    void connect(Endpoint endpoint, BooleanSupplier maySend, Call call) {
+        Connection connection = newConnection(endpoint);
+        ChannelFuture connecting = open(connection);
         Channel channel = connecting.channel();
         call.attach(channel);
         connecting.addListener(done -> {
             if (done.isSuccess()) {
                 // If the call ends in the meantime, it closes the channel.
-                pollTracker.whenFresh(
-                        loop, call::obsolete, () -> sendOnNew(initializer.connection, channel, mayConnect, call));
+                pollTracker.whenFresh(loop, call::obsolete, () -> sendOnNew(connection, channel, maySend, call));
             } else {
                 call.fail(CallFailure.NOT_SENT);
             }
         });
     }
 
-    /** Adds the handlers of a connection to its pipeline. */
-    Connection addHandlers(ChannelPipeline pipeline, Endpoint endpoint) {
-        ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
-        Connection connection = new Connection(this, endpoint, decoder);
-        pipeline.addLast(decoder, new HttpRequestEncoder())
-                .addLast(unfinishedResponses.meter(), new HttpObjectAggregator(maxResponseBytes))
-                .addLast(connection);
-        return connection;
+    /** Opens a connection. */
+    ChannelFuture open(Connection connection) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                // Shows the end of the peer's side as an event of its own, unlike the loss of the connection.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        addHandlers(channel.pipeline(), connection);
+                    }
+                })
+                .connect(connection.endpoint().address());
     }
 
-    /** Sets up the connection of a channel. */
-    private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
-
-        private final Endpoint endpoint;
-        private Connection connection;
-
-        private ConnectionInitializer(Endpoint endpoint) {
-            this.endpoint = endpoint;
-        }
+    /** Returns a connection that is not opened yet. */
+    Connection newConnection(Endpoint endpoint) {
+        return new Connection(this, endpoint, new ResponseDecoder(DECODER_CONFIG));
+    }
 
-        @Override
-        protected void initChannel(SocketChannel channel) {
-            connection = addHandlers(channel.pipeline(), endpoint);
-        }
+    /** Adds the handlers of a connection to its pipeline. */
+    void addHandlers(ChannelPipeline pipeline, Connection connection) {
+        pipeline.addLast(connection.decoder(), new HttpRequestEncoder())
+                .addLast(unfinishedResponses.meter(), new HttpObjectAggregator(maxResponseBytes))
+                .addLast(connection);
     }
 
-    private static void sendOnNew(Connection connection, Channel channel, BooleanSupplier mayConnect, Call call) {
-        if (channel.isActive() && mayConnect.getAsBoolean()) {
+    private static void sendOnNew(Connection connection, Channel channel, BooleanSupplier maySend, Call call) {
+        if (channel.isActive() && maySend.getAsBoolean()) {
             connection.send(call);
         } else {
             call.fail(CallFailure.NOT_SENT);
--- a/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ResponseEndTest.java
+++ b/dragonflymux-gateway/src/test/java/org/dragonflymux/gateway/http/ResponseEndTest.java
@@ -56,8 +56,9 @@
         private Fixture() {
             ConnectionPool pool = ConnectionPool.on(
                     channel.eventLoop(), ResponseLimits.ofHeap(MAX_RESPONSE_BYTES), PollTracker.alwaysFresh());
-            Connection connection = pool.addHandlers(
-                    channel.pipeline(), new ConnectionPool.Endpoint("target", new InetSocketAddress("127.0.0.1", 1)));
+            Connection connection =
+                    pool.newConnection(new ConnectionPool.Endpoint("target", new InetSocketAddress("127.0.0.1", 1)));
+            pool.addHandlers(channel.pipeline(), connection);
             connection.send(new Call(
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), new CallListener() {
                         @Override
