What a target sent before it accepted a spare connection proves nothing

A repeated answer on the proven connection, sent before the spare was accepted, could have been read as the answer that proves the spare, if the target ended and a later incarnation accepted the spare within the wait for it. Seen by reading only. The renewal is now written after one more poll, so that what arrived before is read first and ends the proven connection. Besides: the read-through's names and comments.

The tests of proven connections, of the HTTP client, of the membership and of the control loop pass.

--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/membership/MembershipStateMachine.java
@@ -22,7 +22,7 @@
     public static final long LONG_LEASE_MILLIS = 10_000;
 
     private static final long CLOCK_MARGIN_MILLIS = 100;
-    /** The second renewal after one that got no answer still arrives before the lease ends. */
+    /** Leaves time for a second renewal before the lease ends, if the first one gets no answer. */
     private static final double RENEWALS_PER_LEASE = 2.5;
     /** How long a host keeps its short lease after it had or sought a role. */
     private static final long SHORT_LEASE_MILLIS_AFTER_ROLE = 5_000;
@@ -49,7 +49,9 @@
     /** The validity of the present lease, which is less if the store has given less. */
     private long leaseMillis = LEASE_MILLIS;
 
+    /** The validity that was asked for with the call for another lease that is under way, if one is. */
     private long requestedLeaseMillis = LEASE_MILLIS;
+
     private long registeredLease;
     private long writingLease;
     private int failedLeaseCalls;
@@ -249,8 +251,8 @@
         return activeTerm.isPresent() && boundToPresentLease(activeTerm) && leaseConfirmed(now);
     }
 
-    /** Returns how long ago the lease of this host's last term was known to be valid, in milliseconds. */
-    public long termAgeMillis(long now) {
+    /** Returns how long ago the lease of this host's last term was last confirmed, in milliseconds. */
+    public long millisSinceTermConfirmed(long now) {
         return now - ownTermConfirmedAt;
     }
 
--- a/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
+++ b/dragonflymux-core/src/main/java/org/dragonflymux/core/shard/GrantEffect.java
@@ -12,8 +12,8 @@
         /** A proven one, or a new one if the lease is still valid when the grant is written to it. */
         ANY,
         /**
-         * Only one on which a process of the target took a grant that was sent under a valid lease, so that no later incarnation
-         * gets the call. That this process still knows the fencing tokens of later grantors is why it may get it.
+         * A proven one only. The process at its other end took a grant that was sent under a valid lease, so later grantors
+         * have told it their fencing tokens or wait for its hold. A later incarnation may know of neither.
          */
         PROVEN
     }
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/control/GrantLoop.java
@@ -324,7 +324,7 @@
                         target.incarnation(),
                         sender.map(GrantorTerm::revision).orElse(0L),
                         leaseValid,
-                        membership.termAgeMillis(sentAt),
+                        membership.millisSinceTermConfirmed(sentAt),
                         result);
             }
             callEnded(grantStateMachine, grant.call(), result);
--- a/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ProvenConnections.java
+++ b/dragonflymux-gateway/src/main/java/org/dragonflymux/gateway/http/ProvenConnections.java
@@ -104,18 +104,25 @@
             if (done.isSuccess()) {
                 spareListener.spare = spare;
             }
-            if (call.obsolete()) {
-                spareListener.closeSpare();
-                proven.becomeIdle();
-            } else if (proven.usable(1.0)) {
-                proven.send(call);
-            } else {
-                proven.close();
-                call.fail(CallFailure.NOT_SENT);
-            }
+            // What the process had sent before it accepted the spare must not pass for its response. It is read first,
+            // and ends
+            // the proven connection, as no call is under way there.
+            pollTracker.afterNextPoll(loop, () -> false, () -> sendWithSpare(proven, call, spareListener));
         });
     }
 
+    private static void sendWithSpare(Connection proven, Call call, SpareListener spareListener) {
+        if (call.obsolete()) {
+            spareListener.closeSpare();
+            proven.becomeIdle();
+        } else if (proven.usable(1.0)) {
+            proven.send(call);
+        } else {
+            proven.close();
+            call.fail(CallFailure.NOT_SENT);
+        }
+    }
+
     /** Keeps the spare connection of a call if the response proves the process, and closes it otherwise. */
     private final class SpareListener implements CallListener {
 
