--- /dev/null
+++ b/review/standin-3/LeavingServers.java
@@ -0,0 +1,157 @@
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Servers leave without a notice while the store cuts waiting watches now and then. Counts the requests that reach a server later than
+ * {@code drain-s} after its entry was removed, and the orders that were lost because their server had ended.
+ */
+final class LeavingServers {
+
+    private static final int GATEWAYS = 3;
+    private static final int SERVERS = 10;
+    private static final int LEAVING = 5;
+    private static final int SLOTS = 6;
+    private static final double DRAIN_SECONDS = 2;
+    private static final long SERVES_MILLIS = 2_600;
+    private static final long CUT_INTERVAL_MILLIS = 700;
+    private static final long DEADLINE_MILLIS = 2_000;
+    private static final String HOST = "shop.example";
+
+    private static final String CONFIG = """
+            {"version":"r7","services":[{"name":"orders","health-path":"/health","max-conns":130,"cold-start-s":0,
+              "cold-per-s":10.0}],
+             "limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,"idle-timeout-s":15},
+             "virtual-hosts":[{"host":"shop.example","path-routes":[
+               {"name":"r-1","path-prefix":"/orders/","kind":"unsafe","timeout-s":2,"target-latency-s":0.4,"priority":1,
+                "service":"orders","max-attempts":2,"public":false}]}]}
+            """;
+
+    private final boolean trouble;
+    private final Record record;
+    private final List<String> late = new CopyOnWriteArrayList<>();
+    private final Map<String, String> begunAt = new ConcurrentHashMap<>();
+    private final Map<String, String> ended = new ConcurrentHashMap<>();
+
+    private LeavingServers(boolean trouble, Record record) {
+        this.trouble = trouble;
+        this.record = record;
+    }
+
+    public static void main(String[] arguments) {
+        Script.run(
+                arguments,
+                (root, folder, record, trouble) -> new LeavingServers(trouble, record).run(root, folder));
+    }
+
+    private int run(Path root, Path folder) throws IOException, InterruptedException {
+        int port = Gateways.freePorts(40);
+        InetSocketAddress storeAddress = new InetSocketAddress("127.0.17.1", port + 30);
+        Store store = Store.start(storeAddress);
+        store.put("op/config", CONFIG);
+        List<Target> targets = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            InetSocketAddress address = new InetSocketAddress("127.0.17." + (100 + i), port + 31);
+            Target target = new Target(store, record, "i-" + i, "orders", address, "zone-a", SLOTS, this::work);
+            target.start();
+            targets.add(target);
+        }
+        try (Gateways gateways = new Gateways(root, folder, storeAddress, port)) {
+            if (!gateways.startAll(GATEWAYS, "zone-a")) {
+                record.say("could not run: a gateway was not ready");
+                return Script.COULD_NOT_RUN;
+            }
+            Thread.sleep(4_000);
+            play(gateways, store, targets);
+        }
+        return judge();
+    }
+
+    private byte[] work(Target target, Http.Message request) throws InterruptedException {
+        String id = request.field("X-Request-Id").orElseThrow();
+        double after = record.seconds() - target.removedAt();
+        begunAt.put(id, target.id());
+        if (after > DRAIN_SECONDS) {
+            late.add(id);
+            record.add(String.format("order %s begins at %s, %.3f s after its entry was removed", id, target.id(), after));
+        }
+        Thread.sleep(150);
+        return Target.text("order placed");
+    }
+
+    private void play(Gateways gateways, Store store, List<Target> targets) throws InterruptedException {
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicInteger open = new AtomicInteger();
+        if (trouble) {
+            Thread.ofVirtual().start(() -> cutWatches(store, over));
+        }
+        for (int i = 0; i < LEAVING; i++) {
+            Target leaving = targets.get(i);
+            long waits = 2_000L + 2_700L * i;
+            Thread.ofVirtual().start(() -> {
+                try {
+                    Thread.sleep(waits);
+                    leaving.leave(SERVES_MILLIS);
+                } catch (InterruptedException | IOException failed) {
+                    record.add("server " + leaving.id() + ": " + failed);
+                }
+            });
+        }
+        for (int i = 0; i < 18_000 / 10; i++) {
+            InetSocketAddress front = gateways.front(i % GATEWAYS);
+            open.incrementAndGet();
+            Thread.ofVirtual().start(() -> {
+                sendOrder(front);
+                open.decrementAndGet();
+            });
+            Thread.sleep(10);
+        }
+        while (open.get() > 0) {
+            Thread.sleep(20);
+        }
+        over.set(true);
+    }
+
+    private void cutWatches(Store store, AtomicBoolean over) {
+        try {
+            while (!over.get()) {
+                store.cutWatches();
+                record.add("the store cuts the watches that are waiting");
+                Thread.sleep(CUT_INTERVAL_MILLIS);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void sendOrder(InetSocketAddress to) {
+        String id = Caller.newId();
+        List<Http.Field> fields = Caller.fields(HOST, id, DEADLINE_MILLIS, "");
+        String answer = Caller.send(to, "POST", "/orders/1", fields, Target.text("one disc"), DEADLINE_MILLIS);
+        ended.put(id, answer);
+        if (!answer.equals("200")) {
+            record.add("order " + id + " answered: " + answer + ", begun at " + begunAt.get(id));
+        }
+    }
+
+    private int judge() {
+        long lost = ended.entrySet().stream()
+                .filter(order -> begunAt.containsKey(order.getKey()) && !order.getValue().equals("200"))
+                .count();
+        record.say(ended.size() + " orders; " + late.size() + " reached a server later than " + DRAIN_SECONDS
+                + " s after its entry was removed, none may; " + lost + " were begun and got no success");
+        if (!trouble && lost > 0) {
+            record.say("could not run: orders were lost without trouble");
+            return Script.COULD_NOT_RUN;
+        }
+        record.say(late.isEmpty() ? "held" : "DRAIN is broken");
+        return late.isEmpty() ? Script.HELD : Script.BROKEN;
+    }
+}
