--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,3 +6,4 @@
 rm -rf "$root/target/review-3"
 mkdir -p "$root/target/review-3"
 "$JAVA_HOME/bin/javac" -Xlint:all -d "$root/target/review-3" "$root"/review/standin-3/*.java
+cp "$root/review/standin-3/platform.properties" "$root/target/review-3/"
--- a/review/standin-3/Caller.java
+++ b/review/standin-3/Caller.java
@@ -22,9 +22,9 @@
         List<Http.Field> fields = new ArrayList<>();
         fields.add(new Http.Field("Host", host));
         fields.add(new Http.Field("X-Request-Id", id));
-        fields.add(new Http.Field("X-Deadline-Ms", Long.toString(deadlineMillis)));
+        fields.add(new Http.Field(Names.DEADLINE, Long.toString(deadlineMillis)));
         if (!key.isEmpty()) {
-            fields.add(new Http.Field("Api-Key", key));
+            fields.add(new Http.Field(Names.CREDENTIAL, key));
         }
         return fields;
     }
--- a/review/standin-3/DeadlyRequest.java
+++ b/review/standin-3/DeadlyRequest.java
@@ -66,7 +66,7 @@
         int port = Gateways.freePorts(40);
         InetSocketAddress storeAddress = new InetSocketAddress("127.0.17.1", port + 30);
         Store store = Store.start(storeAddress);
-        store.put("op/config", CONFIG);
+        store.put(Names.DESIRED_STATE, CONFIG);
         for (int i = 0; i < SERVERS; i++) {
             InetSocketAddress address = new InetSocketAddress("127.0.17." + (100 + i), port + 31);
             String zone = i % 2 == 0 ? "zone-a" : "zone-b";
--- a/review/standin-3/Gateways.java
+++ b/review/standin-3/Gateways.java
@@ -76,7 +76,7 @@
         Files.writeString(settings, settings(number, zone));
         ProcessBuilder builder = new ProcessBuilder(command());
         builder.directory(root.toFile());
-        builder.environment().put("DRAGONFLYMUX_NODE_FILE", settings.toString());
+        builder.environment().put(Names.SETTINGS_VARIABLE, settings.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(folder.resolve("gateway-" + number + ".log").toFile());
         processes.add(builder.start());
--- a/review/standin-3/LeavingServers.java
+++ b/review/standin-3/LeavingServers.java
@@ -55,7 +55,7 @@
         int port = Gateways.freePorts(40);
         InetSocketAddress storeAddress = new InetSocketAddress("127.0.17.1", port + 30);
         Store store = Store.start(storeAddress);
-        store.put("op/config", CONFIG);
+        store.put(Names.DESIRED_STATE, CONFIG);
         List<Target> targets = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             InetSocketAddress address = new InetSocketAddress("127.0.17." + (100 + i), port + 31);
--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -134,26 +134,26 @@
     }
 
     private Answer answer(String path, Map<String, String> query, String body) throws InterruptedException {
-        if (path.equals("/kv-range")) {
+        if (path.equals(Names.STORE_CALL + "range")) {
             return range(query.getOrDefault("path-prefix", ""));
         }
-        if (path.equals("/kv-watch")) {
+        if (path.equals(Names.STORE_CALL + "watch")) {
             return watch(
                     query.getOrDefault("path-prefix", ""),
                     Long.parseLong(query.get("after")),
                     Long.parseLong(query.get("wait-ms")));
         }
-        if (path.equals("/kv-txn")) {
+        if (path.equals(Names.STORE_CALL + "txn")) {
             return commit(Json.object(Json.parse(body)));
         }
-        if (path.equals("/kv-lease")) {
+        if (path.equals(Names.STORE_CALL + "lease")) {
             return obtainLease(((Number) Json.object(Json.parse(body)).get("ttl-s_time")).doubleValue());
         }
-        if (path.startsWith("/kv-keep/")) {
-            return renew(Long.parseLong(path.substring("/kv-keep/".length())));
+        if (path.startsWith(Names.STORE_CALL + "keep/")) {
+            return renew(Long.parseLong(path.substring((Names.STORE_CALL + "keep/").length())));
         }
-        if (path.startsWith("/kv-lease-end/")) {
-            return end(Long.parseLong(path.substring("/kv-lease-end/".length())));
+        if (path.startsWith(Names.STORE_CALL + "lease-end/")) {
+            return end(Long.parseLong(path.substring((Names.STORE_CALL + "lease-end/").length())));
         }
         return new Answer(404, "{}");
     }
--- a/review/standin-3/Target.java
+++ b/review/standin-3/Target.java
@@ -147,7 +147,7 @@
         }
         String requestId = request.field("X-Request-Id").orElse("");
         Http.Field echo = new Http.Field("X-Request-Id", requestId);
-        if (request.field("X-Target-Instance").filter(named -> !named.equals(id)).isPresent()) {
+        if (request.field(Names.EXPECTED_SERVER).filter(named -> !named.equals(id)).isPresent()) {
             answer(connection, "421 Misdirected Request", List.of(echo, new Http.Field("X-Instance-Id", id)), new byte[0]);
             return true;
         }
@@ -166,8 +166,8 @@
             atWork.decrementAndGet();
             freeSlots.release();
         }
-        List<Http.Field> fields = new ArrayList<>(List.of(echo, new Http.Field("X-Response-Seal", id + "." + requestId)));
-        fields.add(new Http.Field("X-Server-Load", atWork.get() + ",0," + slots + ",100"));
+        List<Http.Field> fields = new ArrayList<>(List.of(echo, new Http.Field(Names.SEAL, id + "." + requestId)));
+        fields.add(new Http.Field(Names.LOAD, atWork.get() + ",0," + slots + ",100"));
         answer(connection, "200 OK", fields, body);
         return true;
     }
