--- a/review/standin-3/DeadlyRequest.java
+++ b/review/standin-3/DeadlyRequest.java
@@ -64,7 +64,7 @@
 
     private int run(Path root, Path folder) throws IOException, InterruptedException {
         int port = Gateways.freePorts(40);
-        InetSocketAddress storeAddress = new InetSocketAddress("127.0.17.1", port + 30);
+        InetSocketAddress storeAddress = new InetSocketAddress(Gateways.STORE_IP, port + 30);
         Store store = Store.start(storeAddress);
         store.put(Names.DESIRED_STATE, CONFIG);
         for (int i = 0; i < SERVERS; i++) {
--- a/review/standin-3/Gateways.java
+++ b/review/standin-3/Gateways.java
@@ -14,6 +14,9 @@
 /** Starts gateway processes with the command of the deploy file and the settings of a small deployment. */
 final class Gateways implements AutoCloseable {
 
+    /** The loopback address of the store. */
+    static final String STORE_IP = "127.0.17.1";
+
     private static final long START_MILLIS = 30_000;
 
     private final Path root;
@@ -38,7 +41,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::close, "end of gateways"));
     }
 
-    /** Returns a free port that is followed by free ones, on all loopback addresses as far as can be told. */
+    /** Returns a port that is free and followed by free ones at the address of the store. */
     static int freePorts(int count) throws IOException {
         for (int attempt = 0; attempt < 100; attempt++) {
             int first = 20_000 + (int) (Math.random() * 10_000);
@@ -47,7 +50,7 @@
                 for (int i = 0; i < count; i++) {
                     ServerSocket socket = new ServerSocket();
                     taken.add(socket);
-                    socket.bind(new InetSocketAddress("0.0.0.0", first + i));
+                    socket.bind(new InetSocketAddress(STORE_IP, first + i));
                 }
                 return first;
             } catch (IOException used) {
--- a/review/standin-3/LeavingServers.java
+++ b/review/standin-3/LeavingServers.java
@@ -53,7 +53,7 @@
 
     private int run(Path root, Path folder) throws IOException, InterruptedException {
         int port = Gateways.freePorts(40);
-        InetSocketAddress storeAddress = new InetSocketAddress("127.0.17.1", port + 30);
+        InetSocketAddress storeAddress = new InetSocketAddress(Gateways.STORE_IP, port + 30);
         Store store = Store.start(storeAddress);
         store.put(Names.DESIRED_STATE, CONFIG);
         List<Target> targets = new ArrayList<>();
--- a/review/standin-3/RaisedLimits.java
+++ b/review/standin-3/RaisedLimits.java
@@ -48,7 +48,7 @@
 
     private int run(Path root, Path folder) throws IOException, InterruptedException {
         int port = Gateways.freePorts(40);
-        InetSocketAddress storeAddress = new InetSocketAddress("127.0.17.1", port + 30);
+        InetSocketAddress storeAddress = new InetSocketAddress(Gateways.STORE_IP, port + 30);
         Store store = Store.start(storeAddress);
         // Without trouble the limit has been the higher one from the start.
         store.put(Names.DESIRED_STATE, CONFIG.formatted(7, trouble ? 65_536 : 1_048_576));
